--- /dev/null
+++ b/indigodeck/__init__.py
@@ -0,0 +1,1 @@
+"""indigodeck: shuffle-sharded assignment of traffic classes to servers, for control planes."""
