Slow servers leave one shard at a time; levels aim at what the fleet has shown

Now a slow server leaves the shard of the class with most credit only, at most a fifth of listed weight at once and none while all are busy; failing needs failures with quick answers or hardly any answers. Levels steer the tries heard of toward nine tenths of the best the fleet has lately completed.

--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -21,10 +21,10 @@
 RAMP_FROM, RAMP_STEPS = 0.25, 3      # a newcomer's first weight; doublings spread over the cold time
 # Guards.
 TIP_MARGIN = 0.7            # part of what a cold server may be sent that is planned for
-SLOW, FAILING, ENOUGH = 2.2, 0.3, 6
-OUT_SLOW, OUT_FAILED = 0.25, 0.5     # share of listed weight that may be out for either cause
+SLOW, FAILING, DEAD, ENOUGH = 2.2, 0.25, 0.85, 6
+OUT_SLOW, OUT_FAILED = 0.2, 0.5     # share of listed weight that may be out for either cause
 SPELL, SPELL_MOST = 8 * SECOND, 40 * SECOND
-BUSY, CALM, SHORT = 0.55, 0.4, 0.06
+BUSY, CALM, SHORT, ABLE_PART = 0.55, 0.4, 0.06, 0.9
 LINES_TURN, QUEUE_PART = 0.25, 0.45  # seconds of the channel an ordinary push may take; part of its limit
 
 
@@ -86,7 +86,7 @@
         self.waiting, self.waited_at, self.channel = 0.0, host.now(), 1.0
         self.marks, self.mark_number, self.pushed_at = {}, 0, 0
         self.paces, self.heard_at, self.reviewed_at = deque(maxlen=8), 0, 0
-        self.shed, self.ordered_at, self.asked_at, self.patience = 1.0, 0, 0, SECOND
+        self.shed, self.target, self.ordered_at, self.asked_at, self.patience = 1.0, 0.0, 0, 0, SECOND
         self.subscribed, self.slices, self.slice_due = False, {}, set()
         if charter["list_asked"]:
             self._ask()
@@ -246,7 +246,7 @@
         now, total = self.host.now(), sum(rates.values())
         even = 1 / len(self.order)
         heard = any(proxy.demand for proxy in self.proxies.values())
-        if not heard or not total:
+        if not heard or not total or self.shed < 1:     # repeats of refused ones would count as demand
             self.shares = self.shares or {place: even for place in self.order}
             return
         fresh = {place: sum(rate for (k, _), rate in rates.items() if k == place) / total
@@ -261,8 +261,10 @@
         ready = [server for server in self.fleet.values()
                  if server.state == READY and table.zone in (None, server.zone)]
         fit = [server for server in ready if table.place not in self.health[server.index].barred]
-        # With all barred, what they are barred for is common or unknown: a doubtful server beats none.
-        return {server.index: server for server in fit or ready}
+        # With most barred, doubtful servers beat too few: those left would be next.
+        if 2 * sum(server.weight for server in fit) < sum(server.weight for server in ready):
+            fit = ready
+        return {server.index: server for server in fit}
 
     def _planned(self, rates, besides=None):
         """Load planned for each server by the shards drawn so far, by listed weight."""
@@ -409,15 +411,13 @@
         """The part of a class let in: what earns the least credit is refused first."""
         return self.shed_by_class.get(place, 1.0) if self.shed < 1 else 1.0
 
-    def _spread_shed(self, rates):
-        by_class = {place: sum(r for (k, _), r in rates.items() if k == place) for place in self.order}
-        total = sum(by_class.values())
-        refuse = (1 - self.shed) * total
-        self.shed_by_class = {}
+    def _spread_shed(self):
+        refuse, self.shed_by_class = 1 - self.shed, {}
         for place in sorted(self.order, key=lambda k: (self.classes[k]["credit"], k)):
-            cut = min(refuse, by_class[place] * 0.95)
+            part = self.shares[place]
+            cut = min(refuse, part * 0.95)
             refuse -= cut
-            self.shed_by_class[place] = 1 - cut / by_class[place] if by_class[place] else 1.0
+            self.shed_by_class[place] = 1 - cut / part if part else 1.0
 
     def _safe_tries(self, place):
         # After any failure only where a repeat cannot take effect twice; a keyed one that only some servers
@@ -437,59 +437,64 @@
     def _review(self):
         now, agreed = self.host.now(), min(kind["agreed_time"] for kind in self.classes)
         since = now - self.charter["report_period"] * 5 // 4
-        times, fails, done, tried = defaultdict(list), {}, 0.0, 0.0
         ready = {index: server for index, server in self.fleet.items() if server.state == READY}
         recent = {index: self._recent(index, max(since, self.health[index].judge_from)) for index in ready}
-        everything = []
+        times, fails = defaultdict(list), {}
         for index, reports in recent.items():
-            for zone, (_, tries, failed, took, span) in reports:
-                done += (tries - failed) * SECOND / span
-                tried += tries * SECOND / span
+            for zone, (_, tries, failed, took, _) in reports:
                 if tries > failed and took:
                     times[zone, ready[index].kind].append((index, took))
-                    everything.append(took)
             tries = sum(report[1] for _, report in reports)
             if tries >= ENOUGH:
                 fails[index] = sum(report[2] for _, report in reports) / tries
-        common = median(everything) if everything else 0
-        failing = median(fails.values()) if fails else 0
-        self._review_levels(common / agreed, failing, done, now)
+        everything = [took for pairs in times.values() for _, took in pairs]
+        busy = median(everything) / agreed if everything else 0.0
+        failing = median(fails.values()) if fails else 0.0
+        self._review_levels(busy, failing, now)
         bad = {}
         for index, reports in recent.items():
-            if self.health[index].barred and not self.health[index].trial:
-                continue
             good = sum(report[1] - report[2] for _, report in reports)
-            ratio = slowness = 0.0
+            ratio = own = 0.0
             for zone, (_, tries, failed, took, _) in reports:
                 others = [t for other, t in times[zone, ready[index].kind] if other != index]
                 if tries > failed and took and len(others) >= 2:
                     ratio += (tries - failed) / good * took / median(others)
-                    slowness += (tries - failed) / good * took
-            if fails.get(index, 0) > max(FAILING, 2.5 * failing):
+                    own += (tries - failed) / good * took
+            # Refusals with slow answers mean too much work: the server is slow. With quick answers, or with
+            # none, it fails of itself.
+            if fails.get(index, 0) > max(DEAD, 2 * failing) or (
+                    fails.get(index, 0) > FAILING + 2 * failing and ratio < SLOW / 1.5):
                 bad[index] = "failing"
-            elif ratio > SLOW and good >= ENOUGH and slowness > agreed * 0.4:
+            elif ratio > SLOW and good >= ENOUGH and own > agreed * 0.4:
                 bad[index] = "slow"
-        for index in ready:
-            if index not in bad and recent[index]:
+            elif reports:
                 self.health[index].strikes = 0
         # Most of them bad at once is no server's own fault: moving work about would only spread it.
         if len(bad) * 2 <= len(ready):
             for index in sorted(bad, key=lambda i: (bad[i] != "failing", ready[i].raw)):
-                self._strike(index, bad[index], ready, now)
+                self._strike(index, bad[index], ready, now, busy > BUSY)
 
-    def _strike(self, index, cause, ready, now):
+    def _strike(self, index, cause, ready, now, busy):
         health = self.health[index]
         health.strikes += 1
-        if health.strikes < (1 if cause == "failing" or health.trial else 2):
+        left = [place for place in self.order if place not in health.barred]
+        if health.strikes < (1 if cause == "failing" or health.trial else 2) or not left:
+            return
+        # A slow server still does work that the others would have to take: it leaves one shard at a time,
+        # the class with most credit first, and none while all are busy.
+        leaves = left if cause == "failing" else [max(left, key=lambda k: self.classes[k]["credit"])]
+        if cause == "slow" and (busy or len(left) == 1):
             return
         whole = sum(server.weight for server in ready.values())
         out = sum(server.weight for i, server in ready.items() if self.health[i].barred and i != index)
         if out + ready[index].weight > whole * (OUT_FAILED if cause == "failing" else OUT_SLOW):
             return
-        health.barred = frozenset(self.order)
+        health.barred |= frozenset(leaves)
         health.spell = min(SPELL_MOST, health.spell * 2) if health.trial else SPELL
+        if cause == "slow":
+            health.spell = SPELL_MOST
         health.until, health.trial, health.strikes = now + health.spell, 0, 0
-        self.host.log(f"server {index} out: {cause}")
+        self.host.log(f"server {index} leaves {leaves}: {cause}")
 
     def _return_servers(self):
         now = self.host.now()
@@ -506,26 +511,40 @@
         health.barred, health.trial, health.judge_from = frozenset(), now, now + self._echo()
         health.strikes = 0
 
-    def _review_levels(self, busy, failing, done, now):
-        rates = self._rates()
+    def _flow(self):
+        """Tries and completed exchanges a second over all servers, each from its newest reports."""
+        now, tried, done = self.host.now(), 0.0, 0.0
+        for health in self.health.values():
+            for reports in health.reports.values():
+                at, tries, failed, _, span = reports[-1]
+                if now - at < 2 * span + self.charter["report_period"]:
+                    tried += tries * SECOND / span
+                    done += (tries - failed) * SECOND / span
+        return tried, done
+
+    def _review_levels(self, busy, failing, now):
         weight = sum(server.weight * self._ramp(server, now) for server in self.fleet.values()
                      if server.state == READY)
-        if weight and done:
-            self.paces.append(done / weight)
-        arrived = sum(rates.values())
-        if not arrived or now < self.ordered_at + self._echo():
+        tried, done = self._flow()
+        if not (weight and done):
+            return
+        self.paces.append(done / weight)
+        if now < self.ordered_at + self._echo():
             return
-        admitted = sum(rate * self._level(place) for (place, _), rate in rates.items())
-        lacking = 1 - done / max(admitted, 1e-9)
+        # What the fleet has lately shown that it can complete: in a jam it does less, for work done for
+        # clients that have given up counts for nothing, and levels cut to that would never find the way out.
+        able = sorted(self.paces)[-min(2, len(self.paces))] * weight
         before = self.shed
-        if busy > BUSY and max(lacking, failing) > SHORT:
-            self.shed = max(0.2, min(self.shed, 0.92 * done / arrived))
+        if busy > BUSY and max(1 - done / tried, failing) > SHORT:
+            self.target = ABLE_PART * (able if self.shed == 1 else min(able, self.target))
+            self.shed = max(0.1, min(self.shed, self.shed * self.target / tried))
         elif self.shed < 1 and busy < CALM:
-            self.shed = min(1.0, self.shed * 1.1 + 0.02)
+            self.target = max(self.target, tried) * 1.06
+            self.shed = min(1.0, self.shed * max(1.05, min(1.5, self.target / tried)))
         if self.shed != before:
             self.ordered_at = now
-            self._spread_shed(rates)
-            self.host.log(f"level {self.shed:.2f} busy {busy:.2f} lacking {lacking:.2f} failing {failing:.2f}")
+            self._spread_shed()
+            self.host.log(f"level {self.shed:.2f} busy {busy:.2f} tried {tried:.0f} done {done:.0f} able {able:.0f}")
 
     # The channel.
 
