--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -24,7 +24,7 @@
 SLOW, FAILING, DEAD, ENOUGH = 2.2, 0.25, 0.85, 6
 OUT_SLOW, OUT_FAILED = 0.2, 0.5     # share of listed weight that may be out for either cause
 SPELL, SPELL_MOST = 8 * SECOND, 40 * SECOND
-BUSY, CALM, SHORT, ABLE_PART = 0.55, 0.4, 0.06, 0.9
+BUSY, CALM, SHORT, ABLE_PART = 0.45, 0.4, 0.04, 0.9
 LINES_TURN, QUEUE_PART = 0.25, 0.45  # seconds of the channel an ordinary push may take; part of its limit
 
 
@@ -480,10 +480,12 @@
         left = [place for place in self.order if place not in health.barred]
         if health.strikes < (1 if cause == "failing" or health.trial else 2) or not left:
             return
-        # A slow server still does work that the others would have to take: it leaves one shard at a time,
-        # the class with most credit first, and none while all are busy.
-        leaves = left if cause == "failing" else [max(left, key=lambda k: self.classes[k]["credit"])]
-        if cause == "slow" and (busy or len(left) == 1):
+        # A slow server still does work that the others would have to take: it leaves one shard, for a server
+        # that is not in it, and none while all are busy.
+        leaves = left if cause == "failing" else [
+            table.place for table in self.tables if table.place in left and index in table.members
+            and self._pool(table).keys() - set(table.members)][:1]
+        if not leaves or cause == "slow" and (busy or len(left) == 1):
             return
         whole = sum(server.weight for server in ready.values())
         out = sum(server.weight for i, server in ready.items() if self.health[i].barred and i != index)
@@ -535,12 +537,13 @@
         # clients that have given up counts for nothing, and levels cut to that would never find the way out.
         able = sorted(self.paces)[-min(2, len(self.paces))] * weight
         before = self.shed
-        if busy > BUSY and max(1 - done / tried, failing) > SHORT:
-            self.target = ABLE_PART * (able if self.shed == 1 else min(able, self.target))
+        if busy > BUSY and failing > SHORT:
+            # Below that by the part that fails, to let the queues drain before clients' repeats fill them.
+            self.target = (ABLE_PART - min(0.3, failing)) * able
             self.shed = max(0.1, min(self.shed, self.shed * self.target / tried))
         elif self.shed < 1 and busy < CALM:
-            self.target = max(self.target, tried) * 1.06
-            self.shed = min(1.0, self.shed * max(1.05, min(1.5, self.target / tried)))
+            self.target = max(self.target * 1.06, ABLE_PART * able)
+            self.shed = min(1.0, self.shed * max(1.05, min(2.5, self.target / tried)))
         if self.shed != before:
             self.ordered_at = now
             self._spread_shed()
