--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -24,7 +24,7 @@
 SLOW, FAILING, DEAD, ENOUGH = 2.2, 0.25, 0.85, 6
 OUT_SLOW, OUT_FAILED = 0.2, 0.5     # share of listed weight that may be out for either cause
 SPELL, SPELL_MOST = 8 * SECOND, 40 * SECOND
-BUSY, CALM, SHORT, ABLE_PART = 0.45, 0.4, 0.04, 0.9
+BUSY, CALM, ABLE_PART = 0.5, 0.4, 0.9
 LINES_TURN, QUEUE_PART = 0.25, 0.45  # seconds of the channel an ordinary push may take; part of its limit
 
 
@@ -82,10 +82,10 @@
                 self.tables += [Table(place * (zones + 1) + (0 if zone is None else zone + 1), place, zone)
                                 for zone in (range(zones) if own else [None])]
         self.fleet, self.health, self.proxies = {}, defaultdict(Health), {}
-        self.withdrawn, self.shares, self.shared_at = set(), None, 0
+        self.withdrawn, self.shares, self.natural, self.shared_at = set(), {}, {}, -RESIZE_EVERY
         self.waiting, self.waited_at, self.channel = 0.0, host.now(), 1.0
         self.marks, self.mark_number, self.pushed_at = {}, 0, 0
-        self.paces, self.heard_at, self.reviewed_at = deque(maxlen=8), 0, 0
+        self.paces, self.heard_at, self.reviewed_at, self.failed = deque(maxlen=32), 0, 0, 0.0
         self.shed, self.target, self.ordered_at, self.asked_at, self.patience = 1.0, 0.0, 0, 0, SECOND
         self.subscribed, self.slices, self.slice_due = False, {}, set()
         if charter["list_asked"]:
@@ -244,15 +244,16 @@
 
     def _resize(self, rates):
         now, total = self.host.now(), sum(rates.values())
-        even = 1 / len(self.order)
-        heard = any(proxy.demand for proxy in self.proxies.values())
-        if not heard or not total or self.shed < 1:     # repeats of refused ones would count as demand
-            self.shares = self.shares or {place: even for place in self.order}
-            return
-        fresh = {place: sum(rate for (k, _), rate in rates.items() if k == place) / total
-                 for place in self.order}
-        moved = max(abs(fresh[place] - (self.shares or {}).get(place, even)) for place in self.order)
-        if self.shares is None or not self.shared_at or (now - self.shared_at > RESIZE_EVERY and moved > RESIZE_BY):
+        if self.shed == 1:                  # else repeats of refused ones would count as demand
+            even = {place: 1 / len(self.order) for place in self.order}
+            heard = any(proxy.demand for proxy in self.proxies.values())
+            self.natural = even if not heard or not total else {
+                place: sum(rate for (k, _), rate in rates.items() if k == place) / total for place in self.order}
+        # Shards are sized by what is let in: a class that is refused leaves its servers to the others.
+        admitted = {place: self.natural[place] * self._level(place) for place in self.order}
+        fresh = {place: part / sum(admitted.values()) for place, part in admitted.items()}
+        moved = max(abs(fresh[place] - self.shares.get(place, 0)) for place in self.order)
+        if moved > RESIZE_BY and (now - self.shared_at > RESIZE_EVERY or self.shed < 1):
             self.shares, self.shared_at = fresh, now
 
     # Shards.
@@ -414,7 +415,7 @@
     def _spread_shed(self):
         refuse, self.shed_by_class = 1 - self.shed, {}
         for place in sorted(self.order, key=lambda k: (self.classes[k]["credit"], k)):
-            part = self.shares[place]
+            part = self.natural[place]
             cut = min(refuse, part * 0.95)
             refuse -= cut
             self.shed_by_class[place] = 1 - cut / part if part else 1.0
@@ -531,18 +532,16 @@
         if not (weight and done):
             return
         self.paces.append(done / weight)
-        if now < self.ordered_at + self._echo():
-            return
-        # What the fleet has lately shown that it can complete: in a jam it does less, for work done for
-        # clients that have given up counts for nothing, and levels cut to that would never find the way out.
-        able = sorted(self.paces)[-min(2, len(self.paces))] * weight
-        before = self.shed
-        if busy > BUSY and failing > SHORT:
+        # What the fleet has shown that it can complete: in a jam it does less, for work done for clients that
+        # have given up counts for nothing, and levels cut to that would never find the way out.
+        able = sorted(self.paces)[-min(3, len(self.paces))] * weight
+        before, settled = self.shed, now >= self.ordered_at + self._echo()
+        if busy + 4 * min(failing, 0.1) > BUSY and (settled or failing > self.failed + 0.15):
             # Below that by the part that fails, to let the queues drain before clients' repeats fill them.
-            self.target = (ABLE_PART - min(0.3, failing)) * able
+            self.target, self.failed = (ABLE_PART - min(0.5, failing)) * able, failing
             self.shed = max(0.1, min(self.shed, self.shed * self.target / tried))
-        elif self.shed < 1 and busy < CALM:
-            self.target = max(self.target * 1.06, ABLE_PART * able)
+        elif self.shed < 1 and busy < CALM and (settled or self.target < ABLE_PART * able):
+            self.target, self.failed = max(self.target * 1.06, ABLE_PART * able), 0.0
             self.shed = min(1.0, self.shed * max(1.05, min(2.5, self.target / tried)))
         if self.shed != before:
             self.ordered_at = now
