--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -21,7 +21,7 @@
 RAMP_FROM, RAMP_STEPS = 0.25, 3      # a newcomer's first weight; doublings spread over the cold time
 # Guards.
 TIP_MARGIN = 0.7            # part of what a cold server may be sent that is planned for
-SLOW, FAILING, DEAD, ENOUGH = 2.2, 0.25, 0.85, 6
+SLOW, FAILING, DEAD, ENOUGH = 2.2, 0.25, 0.85, 8
 OUT_SLOW, OUT_FAILED = 0.2, 0.5     # share of listed weight that may be out for either cause
 SPELL, SPELL_MOST = 8 * SECOND, 40 * SECOND
 BUSY, CALM, ABLE_PART = 0.5, 0.4, 0.9
@@ -66,7 +66,7 @@
     """What is known against a server: reports, strikes, the classes it is barred from and until when."""
 
     def __init__(self):
-        self.reports, self.strikes, self.barred = {}, 0, frozenset()
+        self.reports, self.strikes, self.barred, self.crowd = {}, 0, frozenset(), 0.0
         self.until, self.spell, self.trial, self.judge_from, self.probing = 0, SPELL, 0, 0, False
 
 
@@ -85,7 +85,8 @@
         self.withdrawn, self.shares, self.natural, self.shared_at = set(), {}, {}, -RESIZE_EVERY
         self.waiting, self.waited_at, self.channel = 0.0, host.now(), 1.0
         self.marks, self.mark_number, self.pushed_at = {}, 0, 0
-        self.paces, self.heard_at, self.reviewed_at, self.failed = deque(maxlen=32), 0, 0, 0.0
+        self.paces, self.heard_at, self.reviewed_at = deque(maxlen=32), 0, 0
+        self.failed, self.cut, self.offered = 0.0, False, 1.0
         self.shed, self.target, self.ordered_at, self.asked_at, self.patience = 1.0, 0.0, 0, 0, SECOND
         self.subscribed, self.slices, self.slice_due = False, {}, set()
         if charter["list_asked"]:
@@ -175,6 +176,8 @@
         if tries and span:
             kept = self.health[server].reports.setdefault(zone, deque(maxlen=4))
             kept.append((now, tries, min(failed, tries), took, span))
+        if load and load.get("in_hand", 0) >= 0:
+            self.health[server].crowd = load.get("in_hand", 0)
 
     def demand(self, proxy, place, exchanges, failed, span):
         if proxy in self.proxies and span:
@@ -445,12 +448,13 @@
             for zone, (_, tries, failed, took, _) in reports:
                 if tries > failed and took:
                     times[zone, ready[index].kind].append((index, took))
-            tries = sum(report[1] for _, report in reports)
+            tries, failed = (sum(report[k] for _, report in reports) for k in (1, 2))
             if tries >= ENOUGH:
-                fails[index] = sum(report[2] for _, report in reports) / tries
+                fails[index] = failed / tries if failed > ENOUGH // 2 else 0.0
         everything = [took for pairs in times.values() for _, took in pairs]
         busy = median(everything) / agreed if everything else 0.0
         failing = median(fails.values()) if fails else 0.0
+        crowded = median(self.health[i].crowd / server.weight for i, server in ready.items()) if ready else 0
         self._review_levels(busy, failing, now)
         bad = {}
         for index, reports in recent.items():
@@ -461,10 +465,11 @@
                 if tries > failed and took and len(others) >= 2:
                     ratio += (tries - failed) / good * took / median(others)
                     own += (tries - failed) / good * took
+            crowd = self.health[index].crowd / ready[index].weight > 2 * crowded > 0
             # Refusals with slow answers mean too much work: the server is slow. With quick answers, or with
             # none, it fails of itself.
             if fails.get(index, 0) > max(DEAD, 2 * failing) or (
-                    fails.get(index, 0) > FAILING + 2 * failing and ratio < SLOW / 1.5):
+                    fails.get(index, 0) > FAILING + 2 * failing and ratio < SLOW / 1.5 and not crowd):
                 bad[index] = "failing"
             elif ratio > SLOW and good >= ENOUGH and own > agreed * 0.4:
                 bad[index] = "slow"
@@ -532,6 +537,8 @@
         if not (weight and done):
             return
         self.paces.append(done / weight)
+        if self.shed == 1:
+            self.offered = max(tried, sum(self._rates().values()))
         # What the fleet has shown that it can complete: in a jam it does less, for work done for clients that
         # have given up counts for nothing, and levels cut to that would never find the way out.
         able = sorted(self.paces)[-min(3, len(self.paces))] * weight
@@ -539,10 +546,12 @@
         if busy + 4 * min(failing, 0.1) > BUSY and (settled or failing > self.failed + 0.15):
             # Below that by the part that fails, to let the queues drain before clients' repeats fill them.
             self.target, self.failed = (ABLE_PART - min(0.5, failing)) * able, failing
-            self.shed = max(0.1, min(self.shed, self.shed * self.target / tried))
-        elif self.shed < 1 and busy < CALM and (settled or self.target < ABLE_PART * able):
-            self.target, self.failed = max(self.target * 1.06, ABLE_PART * able), 0.0
-            self.shed = min(1.0, self.shed * max(1.05, min(2.5, self.target / tried)))
+            part = max(self.shed * self.target / tried, 0.6 * self.target / self.offered)
+            self.shed, self.cut = max(0.1, min(self.shed, part)), True
+        elif self.shed < 1 and busy < CALM and (settled or self.cut):
+            self.target, self.failed, self.cut = max(self.target * 1.06, ABLE_PART * able), 0.0, False
+            part = min(self.shed * self.target / tried, max(self.shed, self.target / self.offered))
+            self.shed = min(1.0, max(self.shed * 1.06, part))
         if self.shed != before:
             self.ordered_at = now
             self._spread_shed()
--- a/indigodeck/simhost/codec.py
+++ b/indigodeck/simhost/codec.py
@@ -79,6 +79,8 @@
     ("repeat_window", "keyTtlMs", TIME, 0),
 )
 REPEATS = {"read_like": "safe", "idempotency_key": "keyed", "non_idempotent": "never"}
+LOADS = {"busy_reqs": "in_hand", "pending": "waiting", "cpu_share": "cores_busy", "svc_ms": "work_time",
+         "served_ps": "completed_per_s", "failed_ps": "failed_per_s"}
 LEVELS = {"ratio": "share", "rps": "rate", "off": "none"}
 
 
@@ -113,7 +115,7 @@
     charter["probes"] = limits.get("probes") is True
     charter["exclusive"] = domain.get("exclusive") is True
     charter["levels"] = LEVELS.get(domain.get("admission"), "share")
-    charter["load_columns"] = list(given["loadInfo"].get("columns") or [])
+    charter["load_columns"] = [LOADS.get(name, name) for name in given["loadInfo"].get("columns") or []]
     if not isinstance(given.get("classes"), list) or not given["classes"]:
         raise Malformed("settings: classes is missing")
     own_zone = domain.get("classOwnZone") or []
