--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,156 @@
+"""What the assigner decides, as traces; each guards a decision named by its test."""
+import unittest
+
+from indigodeck.host import CHANGES, DRAINING, GONE
+from rig import SECOND, Rig, TraceCase, charter, server
+
+
+def fleet(count=12, **stated):
+    return [server(index, **stated) for index in range(count)]
+
+
+class Ordinary(TraceCase):
+    def test_shards_cover_the_fleet_and_follow_demand(self):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(8, lambda rig: rig.report(demand=(40, 10)))
+        rig.printed = [line for line in rig.printed if "log" not in line]
+        self.compare("shards", rig)
+        self.assertEqual(set().union(*rig.tables.values()), set(range(12)))
+
+    def test_same_list_same_draw_whatever_the_seed(self):
+        one, other = Rig(seed=1), Rig(seed=2)
+        for rig in (one, other):
+            rig.start(fleet())
+        self.assertEqual(one.printed, other.printed)
+
+    def test_newcomer_ramps_up(self):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(2)
+        rig.printed.clear()
+        rig.change(server(12, started=2 * SECOND))
+        rig.run(20)
+        self.compare("ramp", rig)
+
+
+class Rules(TraceCase):
+    def test_drained_and_gone_leave_at_once(self):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(1)
+        rig.printed.clear()
+        rig.change(server(3, DRAINING))
+        rig.assigner.listed(CHANGES, [server(5, GONE)])
+        rig.change(server(5, started=SECOND))
+        self.compare("drain", rig)
+
+    def test_cold_fleet_is_kept_under_what_would_tip_it(self):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(5, lambda rig: rig.report())
+        rig.printed.clear()
+        rig.change(*[server(index, started=rig.clock) for index in range(12)])
+        rig.run(3)
+        self.compare("all-cold", rig)
+
+    def test_messages_stay_under_the_limit(self):
+        rig = Rig(charter(messages_most=8))
+        rig.start(fleet())
+        rig.printed.clear()
+        for step in range(40):
+            rig.change(server(step % 12, DRAINING if step % 2 else "ready"))
+            rig.run(0.25)
+        moments = {line[:9] for line in rig.printed if "table" in line or "server" in line}
+        self.assertLessEqual(len(moments) + 1, 8)
+
+    def test_list_is_asked_again_after_failures_ever_later(self):
+        rig = Rig(charter(list_asked=True))
+        rig.start(fleet(4))
+        for _ in range(4):
+            rig.assigner.list_failed()
+            rig.run(9)
+        rig.printed = [line for line in rig.printed if "watch" in line]
+        self.compare("asking", rig)
+
+
+class Health(TraceCase):
+    def play(self, seconds, warm=6, **report):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(warm, lambda rig: rig.report())
+        rig.printed.clear()
+        rig.run(seconds, lambda rig: rig.report(**report))
+        return rig
+
+    def test_failing_server_is_out_and_tried_again(self):
+        self.compare("failing", self.play(14, failed=lambda index: 15 if index == 4 else 0))
+
+    def test_slow_server_leaves_one_shard_for_another(self):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(8, lambda rig: rig.report(demand=(45, 5)))
+        rig.printed.clear()
+        slow = min(rig.tables[2].keys() & rig.tables[0].keys())
+        rig.run(6, lambda rig: rig.report(lambda index: 900_000 if index == slow else 200_000, demand=(45, 5)))
+        self.compare("slow", rig)
+
+    def test_common_cause_moves_nobody(self):
+        rig = self.play(5, failed=lambda index: 15 if index % 3 else 0)
+        self.assertFalse([line for line in rig.printed if "leaves" in line])
+
+    def test_too_few_left_are_not_left_alone(self):
+        rig = self.play(8, failed=lambda index: 20 if index < 6 else 0)
+        used = {index for lines in rig.tables.values() for index, weight in lines.items() if weight}
+        self.assertGreaterEqual(len(used), 6)
+
+
+class Levels(TraceCase):
+    def test_flood_is_cut_by_credit_and_let_in_again(self):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(6, lambda rig: rig.report())
+        rig.printed.clear()
+        rig.run(4, lambda rig: rig.report(lambda index: 900_000, lambda index: 6, 30, (80, 40)))
+        rig.run(20, lambda rig: rig.report(tries=14))
+        self.compare("flood", rig)
+
+    def test_slow_answers_of_one_zone_do_not_close_the_other(self):
+        classes = charter()["classes"]
+        rig = Rig(charter(zones=2, classes=[classes[0], dict(classes[1], own_zone=True)]))
+        rig.start([server(index, zone=index % 2) for index in range(12)], zones=2)
+        rig.run(6, lambda rig: rig.report())
+        rig.printed.clear()
+        rig.run(5, lambda rig: rig.report(lambda index: 900_000 if index % 2 else 200_000,
+                                          lambda index: 8 if index % 2 else 0))
+        rig.printed = [line for line in rig.printed if "level" in line]
+        self.compare("one-zone", rig)
+
+
+class Odd(unittest.TestCase):
+    def test_zero_and_unknown_values_are_harmless(self):
+        rig = Rig()
+        rig.assigner.listed(CHANGES, [server(0, weight=0.0), server(1, weight=float("nan"))])
+        rig.start([])
+        rig.assigner.heard(0, 7, 0, 0, 0, 0, None)
+        rig.assigner.heard(3, 7, 5, 9, 0, SECOND, {})
+        rig.assigner.demand(99, 0, 5, 0, 0)
+        rig.assigner.applied(99, 12, 0)
+        rig.assigner.probed(7, "silent", 0, None)
+        rig.assigner.proxy_left(42)
+        rig.assigner.told(3, b"?")
+        rig.run(5)
+
+    def test_slices_keep_their_server_until_it_goes(self):
+        rig = Rig(charter(slices=8))
+        rig.assigner.listed(CHANGES, fleet(4))
+        rig.assigner.slice_given(2, True)
+        rig.assigner.slice_held(2, 1, 1.0)
+        rig.run(1)
+        self.assertFalse(rig.tables)
+        rig.change(server(1, GONE))
+        self.assertEqual(len(rig.tables[2]), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
