--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -18,7 +18,7 @@
 HOT, COOL = 1.15, 0.95      # planned load by other shards, over the fleet's mean, that keeps a server out
 RAMP_FROM, RAMP_STEPS = 0.25, 3      # a newcomer's first weight; doublings spread over the cold time
 # Guards.
-TIP_MARGIN = 0.6            # part of what would tip a cold server that is planned for
+TIP_MARGIN = 0.4            # part of what would tip a cold server that is planned for
 SLOW, FAILING, DEAD, ENOUGH = 2.2, 0.25, 0.85, 8
 OUT_SLOW, OUT_FAILED = 0.2, 0.5      # share of listed weight that may be out for either cause
 SPELL, SPELL_MOST = 8 * SECOND, 40 * SECOND
