--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -78,14 +78,14 @@
         self.open, self.target, self.asked, self.failed = 1.0, 0.0, 1.0, 0.0
         self.turned_at, self.cut, self.shown = 0, False, deque(maxlen=32)
 
-    def turn(self, now, echo, busy, failing, tried, done, weight, asked, may_cut):
+    def turn(self, now, echo, busy, failing, tried, done, weight, may_cut):
         # In a jam the fleet completes less than it can, for work done for clients that have given up counts
         # for nothing; levels cut to that would never find the way out. So the best it has shown, but for two.
         self.shown.append(done / weight)
         able = sorted(self.shown)[-min(3, len(self.shown))] * weight
         before, settled = self.open, now >= self.turned_at + echo
         if self.open == 1:
-            self.asked = max(tried, asked, 1e-9)
+            self.asked = max(tried, 1e-9)
         if busy + 4 * min(failing, 0.1) > BUSY and may_cut and (settled or failing > self.failed + 0.15):
             # Below it by the part that fails, to let the queues drain before clients' repeats fill them.
             self.target, self.failed, self.cut = (ABLE_PART - min(0.5, failing)) * able, failing, True
@@ -94,7 +94,8 @@
         elif self.open < 1 and busy < CALM and (settled or self.cut):
             # Reports lag: one step up on the first calm ones, no further than what was asked for.
             self.target, self.failed, self.cut = max(self.target * 1.06, ABLE_PART * able), 0.0, False
-            part = min(self.open * self.target / max(tried, 1e-9), max(self.open, self.target / self.asked))
+            bound = max(self.open * 1.15, self.target / self.asked)
+            part = min(self.open * self.target / max(tried, 1e-9), bound)
             self.open = min(1.0, max(self.open * 1.06, part))
         if self.open == before:
             return False
@@ -445,6 +446,8 @@
         for zone, valve in self.valves.items():
             self._turn_valve(zone, valve, self._ready(zone), everything, fails, agreed)
         failing = median(fails.values()) if fails else 0.0
+        near = {zone: max(failing, median([part for i, part in fails.items() if ready[i].zone == zone]))
+                for zone in {ready[i].zone for i in fails}}
         crowded = median(self.health[i].crowd / server.weight for i, server in ready.items()) if ready else 0
         bad = {}
         for index, reports in recent.items():
@@ -459,7 +462,7 @@
             # Failures with slow answers or a crowd mean too much work: the server is slow. With quick
             # answers, or with none, it fails of itself.
             if fails.get(index, 0) > max(DEAD, 2 * failing) or (
-                    fails.get(index, 0) > FAILING + 2 * failing and ratio < SLOW / 1.5 and not crowd):
+                    fails.get(index, 0) > FAILING + 2 * near.get(ready[index].zone, 0) and ratio < SLOW / 1.5 and not crowd):
                 bad[index] = "failing"
             elif ratio > SLOW and good >= ENOUGH and own > agreed * 0.4:
                 bad[index] = "slow"
@@ -510,9 +513,9 @@
         failing = [part for index, part in fails.items() if index in ready]
         if not (weight and done and took and failing):
             return
-        busy, asked = median(took) / agreed, sum(self._rates().values()) if zone is None else 0.0
+        busy = median(took) / agreed
         may_cut = zone is None or self.valves[None].open == 1
-        if valve.turn(now, self._echo(), busy, median(failing), tried, done, weight, asked, may_cut):
+        if valve.turn(now, self._echo(), busy, median(failing), tried, done, weight, may_cut):
             refuse = 1 - self.valves[None].open
             for place in sorted(self.order, key=lambda k: (self.classes[k]["credit"], k)):
                 # What earns the least credit is refused first, but never all of it.
@@ -552,7 +555,7 @@
         for table in self.tables:
             for server in table.lines.keys() | table.want.keys():
                 old, new = table.lines.get(server, 0.0), round(table.want.get(server, 0.0), 4)
-                if abs(new - old) > 0.04 * max(new, old):
+                if abs(new - old) > 0.1 * max(new, old):
                     cold = server in ready and now - ready[server].started < self.charter["cold_time"]
                     changes.append((server in ready and not (cold and new < old), -abs(new - old),
                                     table.number, server, new, table))
