--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -76,7 +76,7 @@
 
     def __init__(self):
         self.open, self.target, self.asked, self.failed = 1.0, 0.0, 1.0, 0.0
-        self.turned_at, self.cut, self.shown = 0, False, deque(maxlen=32)
+        self.turned_at, self.cut, self.shown, self.seen = 0, False, deque(maxlen=32), deque(maxlen=3)
 
     def turn(self, now, echo, busy, failing, tried, done, weight, may_cut):
         # In a jam the fleet completes less than it can, for work done for clients that have given up counts
@@ -84,8 +84,11 @@
         self.shown.append(done / weight)
         able = sorted(self.shown)[-min(3, len(self.shown))] * weight
         before, settled = self.open, now >= self.turned_at + echo
-        if self.open == 1:
-            self.asked = max(tried, 1e-9)
+        if self.open == 1 and busy < CALM:
+            self.asked = max(tried, 1e-9)           # later, repeats would count as demand
+        # One period ahead: what is ordered now takes effect only then.
+        self.seen.append(busy)
+        busy += max(0.0, busy - self.seen[0])
         if busy + 4 * min(failing, 0.1) > BUSY and may_cut and (settled or failing > self.failed + 0.15):
             # Below it by the part that fails, to let the queues drain before clients' repeats fill them.
             self.target, self.failed, self.cut = (ABLE_PART - min(0.5, failing)) * able, failing, True
