--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -295,19 +295,24 @@
         enough = 2 * sum(s.weight for s in fit.values()) >= sum(s.weight for s in ready.values())
         return fit if enough else ready
 
-    def _planned(self, rates, besides=None):
-        """Load planned for each server by the shards drawn so far, by listed weight."""
+    def _planned(self, rates, besides, bound=False):
+        """Load planned for each server by other shards, by listed weight; or by zone-bound ones alone."""
         loads = defaultdict(float)
         for table in self.tables:
-            members = [self.fleet[m] for m in table.members if m in self.fleet and table is not besides]
+            if table is besides or bound and table.zone is None:
+                continue
+            members = [self.fleet[m] for m in table.members if m in self.fleet]
             weight = sum(server.weight for server in members)
             for server in members:
                 loads[server.index] += self._rate(table, rates) * server.weight / weight
         return loads
 
-    def _spared(self, table, pool, loads, mean):
-        """The pool without servers that other shards load above the fleet's mean: an own-zone class that
-        fills its zone would else share those servers with classes that may go anywhere."""
+    def _spared(self, table, pool, rates, mean):
+        """The pool without servers that zone-bound shards alone load above the fleet's mean: a class that may
+        go anywhere leaves them. Other shards do not count: classes would part the fleet between them."""
+        if table.zone is not None:
+            return pool
+        loads = self._planned(rates, table, bound=True)
         bound = {index: (HOT if index in table.members else COOL) * mean * server.weight
                  for index, server in pool.items()}
         spared = {index: server for index, server in pool.items() if loads[index] <= bound[index]}
@@ -358,7 +363,7 @@
                 table.members = []
                 continue
             mean = sum(self._rate(other, rates) for other in self.tables) / whole
-            pool = self._spared(table, pool, loads, mean)
+            pool = self._spared(table, pool, rates, mean)
             need = self._need(table, pool, rates)
             if not table.drawn:
                 table.members, table.drawn = self._draw(table, pool, need, loads), True
