A jam without answers closes the valve; a full fleet holds every class on every server

And while levels were low, sizing by what is let in left some servers with one class and others with two, 7 tries a second beside 18. Now demand is read from the first reports on, no answers are the deepest jam, the first list is judged at once, and while the fleet's valve is not wide open every shard wants every server and bars for slowness rest. Tests for both.

--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -65,6 +65,7 @@
 
     def __init__(self, judge_from=0):
         self.reports, self.strikes, self.barred, self.crowd = {}, 0, frozenset(), 0.0
+        self.out = False
         self.until, self.spell, self.trial, self.judge_from, self.probing = 0, SPELL, 0, judge_from, False
 
 
@@ -75,7 +76,7 @@
     """
 
     def __init__(self):
-        self.open, self.target, self.asked, self.failed = 1.0, 0.0, 1.0, 0.0
+        self.open, self.target, self.asked, self.failed = 1.0, 0.0, 0.0, 0.0
         self.turned_at, self.cut, self.shown, self.seen = 0, False, deque(maxlen=32), deque(maxlen=3)
 
     def turn(self, now, echo, busy, failing, tried, done, weight, may_cut):
@@ -84,7 +85,7 @@
         self.shown.append(done / weight)
         able = sorted(self.shown)[-min(3, len(self.shown))] * weight
         before, settled = self.open, now >= self.turned_at + echo
-        if self.open == 1 and busy < CALM:
+        if self.open == 1 and (busy < CALM or not self.asked):
             self.asked = max(tried, 1e-9)           # later, repeats would count as demand
         # One period ahead: what is ordered now takes effect only then.
         self.seen.append(busy)
@@ -154,7 +155,7 @@
             self.fleet[server.index] = server if 0 < server.weight < 1e9 else server._replace(weight=1.0)
             if before is None or before.started != server.started:
                 # A new process: what was held against the old one says nothing of it.
-                self.health[server.index] = Health(self.host.now() + self._echo())
+                self.health[server.index] = Health(0 if kind == CACHED else self.host.now() + self._echo())
         self._act()
 
     def _ready(self, zone=None):
@@ -277,20 +278,17 @@
             heard = total and any(proxy.demand for proxy in self.proxies.values())
             self.natural = {place: sum(rate for (k, _), rate in rates.items() if k == place) / total
                             if heard else 1 / len(self.order) for place in self.order}
-        # Shards are sized by what is let in: a class that is refused leaves its servers to the others.
-        admitted = {place: max(1e-9, self.natural[place] * self.levels[place]) for place in self.order}
-        fresh = {place: part / sum(admitted.values()) for place, part in admitted.items()}
-        moved = max(abs(fresh[place] - self.shares.get(place, 0)) for place in self.order)
-        if not self.shares or moved > RESIZE_BY and (
-                now - self.shared_at > RESIZE_EVERY or self.valves[None].open < 1):
-            self.shares, self.shared_at = fresh, now
+        moved = max(abs(self.natural[place] - self.shares.get(place, 0)) for place in self.order)
+        if not self.shares or moved > RESIZE_BY and now - self.shared_at > RESIZE_EVERY:
+            self.shares, self.shared_at = self.natural, now
 
     # Shards.
 
     def _pool(self, table):
         ready = self._ready(table.zone)
-        fit = {index: server for index, server in ready.items()
-               if table.place not in self.health[index].barred}
+        full = self.valves[None].open < 1
+        fit = {index: server for index, server in ready.items() if not self.health[index].out
+               and (full or table.place not in self.health[index].barred)}
         # With most barred, doubtful servers beat too few: those left would be next.
         enough = 2 * sum(s.weight for s in fit.values()) >= sum(s.weight for s in ready.values())
         return fit if enough else ready
@@ -353,7 +351,8 @@
             wide = sum(rate for (place, _), rate in rates.items() if place == table.place)
             own = rates[table.place, table.zone]
             part *= own / max(wide, 1e-9) * sum(s.weight for s in self._ready().values()) / here
-        return min(1.0, SHARE_TARGET * part) * here
+        # A fleet that is full has no room to keep classes apart: some servers would idle beside jammed ones.
+        return here * (min(1.0, SHARE_TARGET * part) if self.valves[None].open == 1 else 1.0)
 
     def _shards(self, rates):
         now, whole = self.host.now(), sum(server.weight for server in self._ready().values())
@@ -469,8 +468,8 @@
             crowd = self.health[index].crowd / ready[index].weight > 2 * crowded > 0
             # Failures with slow answers or a crowd mean too much work: the server is slow. With quick
             # answers, or with none, it fails of itself.
-            if fails.get(index, 0) > max(DEAD, 2 * failing) or (
-                    fails.get(index, 0) > FAILING + 2 * near.get(ready[index].zone, 0) and ratio < SLOW / 1.5 and not crowd):
+            part, usual = fails.get(index, 0), near.get(ready[index].zone, 0)
+            if part > max(DEAD, 2 * failing) or part > FAILING + 2 * usual and not crowd and ratio < SLOW / 1.5:
                 bad[index] = "failing"
             elif ratio > SLOW and good >= ENOUGH and own > agreed * 0.4:
                 bad[index] = "slow"
@@ -497,6 +496,7 @@
         out = sum(server.weight for i, server in ready.items() if self.health[i].barred or i == index)
         if out > whole * (OUT_FAILED if cause == "failing" else OUT_SLOW):
             return
+        health.out = cause == "failing"
         health.barred |= frozenset(left)
         again = min(SPELL_MOST, health.spell * 2) if health.trial else SPELL
         health.spell = again if cause == "failing" else SPELL_MOST
@@ -505,7 +505,7 @@
 
     def _try_again(self, health):
         now = self.host.now()
-        health.barred, health.strikes, health.trial = frozenset(), 0, now
+        health.barred, health.out, health.strikes, health.trial = frozenset(), False, 0, now
         health.judge_from = now + self._echo()
 
     def _turn_valve(self, zone, valve, ready, everything, fails, agreed):
@@ -519,9 +519,10 @@
         weight = sum(server.weight * self._ramp(server) for server in ready.values())
         took = [took for index, took in everything if index in ready]
         failing = [part for index, part in fails.items() if index in ready]
-        if not (weight and done and took and failing):
+        if not (weight and tried and failing):
             return
-        busy = median(took) / agreed
+        # No answer at all, though much was tried, is the deepest jam, not a calm.
+        busy = median(took) / agreed if took else 2.0
         may_cut = zone is None or self.valves[None].open == 1
         if valve.turn(now, self._echo(), busy, median(failing), tried, done, weight, may_cut):
             refuse = 1 - self.valves[None].open
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -115,6 +115,22 @@
         rig.run(20, lambda rig: rig.report(tries=14))
         self.compare("flood", rig)
 
+    def test_total_jam_closes_the_valve_though_nothing_is_answered(self):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(8, lambda rig: rig.report(failed=lambda index: 40, tries=40))
+        levels = [line for line in rig.printed if "level" in line and "level 1.00" not in line]
+        self.assertTrue(levels)
+
+    def test_full_fleet_holds_every_class_on_every_server(self):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(16, lambda rig: rig.report(demand=(45, 5)))
+        narrow = sum(1 for weight in rig.tables[2].values() if weight)
+        rig.run(5, lambda rig: rig.report(lambda index: 900_000, demand=(45, 5)))
+        self.assertLess(narrow, 12)
+        self.assertEqual(sum(1 for weight in rig.tables[2].values() if weight), 12)
+
     def test_slow_answers_of_one_zone_do_not_close_the_other(self):
         classes = charter()["classes"]
         rig = Rig(charter(zones=2, classes=[classes[0], dict(classes[1], own_zone=True)]))
