--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -79,7 +79,7 @@
         self.open, self.target, self.asked, self.failed = 1.0, 0.0, 0.0, 0.0
         self.turned_at, self.cut, self.shown, self.seen = 0, False, deque(maxlen=32), deque(maxlen=3)
 
-    def turn(self, now, echo, busy, failing, tried, done, weight, may_cut):
+    def turn(self, now, echo, busy, failing, tried, done, weight):
         # In a jam the fleet completes less than it can, for work done for clients that have given up counts
         # for nothing; levels cut to that would never find the way out. So the best it has shown, but for two.
         self.shown.append(done / weight)
@@ -90,7 +90,7 @@
         # One period ahead: what is ordered now takes effect only then.
         self.seen.append(busy)
         busy += max(0.0, busy - self.seen[0])
-        if busy + 4 * min(failing, 0.1) > BUSY and may_cut and (settled or failing > self.failed + 0.15):
+        if busy + 4 * min(failing, 0.1) > BUSY and (settled or failing > self.failed + 0.15):
             # Below it by the part that fails, to let the queues drain before clients' repeats fill them.
             self.target, self.failed, self.cut = (ABLE_PART - min(0.5, failing)) * able, failing, True
             part = max(self.open * self.target / max(tried, 1e-9), 0.6 * self.target / self.asked)
@@ -450,8 +450,9 @@
             if tries >= ENOUGH:
                 fails[index] = failed / tries if failed > ENOUGH // 2 else 0.0
         everything = [pair for pairs in times.values() for pair in pairs]
+        busy = median(took for _, took in everything) / agreed if everything else 0.0
         for zone, valve in self.valves.items():
-            self._turn_valve(zone, valve, self._ready(zone), everything, fails, agreed)
+            self._turn_valve(zone, valve, self._ready(zone), everything, fails, agreed, busy)
         failing = median(fails.values()) if fails else 0.0
         near = {zone: max(failing, median([part for i, part in fails.items() if ready[i].zone == zone]))
                 for zone in {ready[i].zone for i in fails}}
@@ -476,7 +477,6 @@
             elif reports:
                 self.health[index].strikes = 0
         # Most of them bad at once is no server's own fault: moving work about would only spread it.
-        busy = median(took for _, took in everything) / agreed if everything else 0.0
         if len(bad) * 2 <= len(ready):
             for index in sorted(bad, key=lambda i: (bad[i] != "failing", ready[i].raw)):
                 self._strike(index, bad[index], ready, busy > BUSY)
@@ -508,7 +508,7 @@
         health.barred, health.out, health.strikes, health.trial = frozenset(), False, 0, now
         health.judge_from = now + self._echo()
 
-    def _turn_valve(self, zone, valve, ready, everything, fails, agreed):
+    def _turn_valve(self, zone, valve, ready, everything, fails, agreed, fleet_busy):
         now, tried, done = self.host.now(), 0.0, 0.0
         for index in ready:
             for reports in self.health[index].reports.values():
@@ -523,8 +523,12 @@
             return
         # No answer at all, though much was tried, is the deepest jam, not a calm.
         busy = median(took) / agreed if took else 2.0
-        may_cut = zone is None or self.valves[None].open == 1
-        if valve.turn(now, self._echo(), busy, median(failing), tried, done, weight, may_cut):
+        # Where the fleet is jammed or its valve is turned, that one decides, which knows whose credit is
+        # least, unless this zone is far worse off than the rest.
+        if zone is not None and busy > CALM and (fleet_busy > BUSY or self.valves[None].open < 1 and
+                                                 busy < 1.5 * fleet_busy):
+            return
+        if valve.turn(now, self._echo(), busy, median(failing), tried, done, weight):
             refuse = 1 - self.valves[None].open
             for place in sorted(self.order, key=lambda k: (self.classes[k]["credit"], k)):
                 # What earns the least credit is refused first, but never all of it.
