--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -37,6 +37,10 @@
         return (self.state >> 32) * bound >> 32
 
 
+def weigh(servers):
+    return sum(server.weight for server in servers)
+
+
 def seed_from(name, raws):
     """The same for every instance and every start: Python's own hash differs between processes."""
     mixed = 14695981039346656037
@@ -64,8 +68,7 @@
     """What is known against a server: reports, strikes, the classes it is barred from and until when."""
 
     def __init__(self, judge_from=0):
-        self.reports, self.strikes, self.barred, self.crowd = {}, 0, frozenset(), 0.0
-        self.out = False
+        self.reports, self.strikes, self.barred, self.out = {}, 0, frozenset(), False
         self.until, self.spell, self.trial, self.judge_from, self.probing = 0, SPELL, 0, judge_from, False
 
 
@@ -188,12 +191,10 @@
     # Reports and answers.
 
     def heard(self, zone, server, tries, failed, took, span, load):
-        self.heard_at, health = self.host.now(), self.health[server]
+        self.heard_at = self.host.now()
         if tries and span:
-            kept = health.reports.setdefault(zone, deque(maxlen=4))
+            kept = self.health[server].reports.setdefault(zone, deque(maxlen=4))
             kept.append((self.heard_at, tries, min(failed, tries), took, span))
-        if load and load.get("in_hand", 0) >= 0:
-            health.crowd = load.get("in_hand", 0.0)
 
     def demand(self, proxy, place, exchanges, failed, span):
         if proxy in self.proxies and span:
@@ -290,8 +291,7 @@
         fit = {index: server for index, server in ready.items() if not self.health[index].out
                and (full or table.place not in self.health[index].barred)}
         # With most barred, doubtful servers beat too few: those left would be next.
-        enough = 2 * sum(s.weight for s in fit.values()) >= sum(s.weight for s in ready.values())
-        return fit if enough else ready
+        return fit if 2 * weigh(fit.values()) >= weigh(ready.values()) else ready
 
     def _planned(self, rates, besides, bound=False):
         """Load planned for each server by other shards, by listed weight; or by zone-bound ones alone."""
@@ -300,7 +300,7 @@
             if table is besides or bound and table.zone is None:
                 continue
             members = [self.fleet[m] for m in table.members if m in self.fleet]
-            weight = sum(server.weight for server in members)
+            weight = weigh(members)
             for server in members:
                 loads[server.index] += self._rate(table, rates) * server.weight / weight
         return loads
@@ -314,8 +314,7 @@
         bound = {index: (HOT if index in table.members else COOL) * mean * server.weight
                  for index, server in pool.items()}
         spared = {index: server for index, server in pool.items() if loads[index] <= bound[index]}
-        weight = sum(server.weight for server in spared.values())
-        enough = len(spared) >= LEAST_SERVERS and 2 * weight >= sum(server.weight for server in pool.values())
+        enough = len(spared) >= LEAST_SERVERS and 2 * weigh(spared.values()) >= weigh(pool.values())
         return spared if enough else pool
 
     def _pick(self, left, loads, chance):
@@ -346,16 +345,16 @@
 
     def _need(self, table, pool, rates):
         """The listed weight that a shard wants; of a zone's table, by the zone's part of the demand."""
-        here, part = sum(server.weight for server in pool.values()), self.shares[table.place]
+        here, part = weigh(pool.values()), self.shares[table.place]
         if table.zone is not None and here:
             wide = sum(rate for (place, _), rate in rates.items() if place == table.place)
             own = rates[table.place, table.zone]
-            part *= own / max(wide, 1e-9) * sum(s.weight for s in self._ready().values()) / here
+            part *= own / max(wide, 1e-9) * weigh(self._ready().values()) / here
         # A fleet that is full has no room to keep classes apart: some servers would idle beside jammed ones.
         return here * (min(1.0, SHARE_TARGET * part) if self.valves[None].open == 1 else 1.0)
 
     def _shards(self, rates):
-        now, whole = self.host.now(), sum(server.weight for server in self._ready().values())
+        now, whole = self.host.now(), weigh(self._ready().values())
         for table in self.tables:
             pool, loads = self._pool(table), self._planned(rates, table)
             if not pool:
@@ -368,13 +367,11 @@
                 table.members, table.drawn = self._draw(table, pool, need, loads), True
                 continue
             table.members = [member for member in table.members if member in pool]
-            weight = sum(pool[member].weight for member in table.members)
-            half = sum(server.weight for server in pool.values()) / len(pool) / 2
+            weight = weigh(pool[member] for member in table.members)
+            half = weigh(pool.values()) / len(pool) / 2
             left = sorted((pool[index] for index in pool.keys() - set(table.members)), key=lambda s: s.raw)
             while left and (weight < need - half or len(table.members) < LEAST_SERVERS):
-                # One for one, warm ones first: replacements that arrive cold together protect nothing.
-                warm = [server for server in left if now - server.started >= self.charter["cold_time"]]
-                server = self._pick(warm or left, loads, self._seeded(table, left))
+                server = self._pick(left, loads, self._seeded(table, left))
                 left.remove(server)
                 table.members.append(server.index)
                 weight += server.weight
@@ -387,8 +384,8 @@
         for server in sorted(self._ready().values(), key=lambda server: server.raw):
             open_to = [table for table in self.tables if server.index in self._pool(table)]
             if server.index not in covered and open_to:
-                max(open_to, key=lambda table: self._rate(table, rates) / max(1e-9, sum(
-                    self.fleet[m].weight for m in table.members))).members.append(server.index)
+                max(open_to, key=lambda table: self._rate(table, rates) / max(1e-9, weigh(
+                    self.fleet[m] for m in table.members))).members.append(server.index)
 
     # Weights: as listed, but for the ramp and the guard over cold servers.
 
@@ -403,7 +400,7 @@
         # before anything is heard, what proxies say they usually bring.
         shown, ready = sorted(self.valves[None].shown), self._ready()
         pace = shown[-min(3, len(shown))] if shown else sum(
-            proxy.rate for proxy in self.proxies.values()) / max(1e-9, sum(s.weight for s in ready.values()))
+            proxy.rate for proxy in self.proxies.values()) / max(1e-9, weigh(ready.values()))
         pace *= self.charter["tip_multiple"] * TIP_MARGIN / self.charter["instances"]
         grown = (1 - share) / cold_time
         budgets = {index: server.weight * pace * (share + grown * max(0, now - server.started))
@@ -454,9 +451,6 @@
         for zone, valve in self.valves.items():
             self._turn_valve(zone, valve, self._ready(zone), everything, fails, agreed, busy)
         failing = median(fails.values()) if fails else 0.0
-        near = {zone: max(failing, median([part for i, part in fails.items() if ready[i].zone == zone]))
-                for zone in {ready[i].zone for i in fails}}
-        crowded = median(self.health[i].crowd / server.weight for i, server in ready.items()) if ready else 0
         bad = {}
         for index, reports in recent.items():
             good = sum(report[1] - report[2] for _, report in reports)
@@ -466,11 +460,10 @@
                 if tries > failed and took and len(others) >= 2:
                     ratio += (tries - failed) / good * took / median(others)
                     own += (tries - failed) / good * took
-            crowd = self.health[index].crowd / ready[index].weight > 2 * crowded > 0
-            # Failures with slow answers or a crowd mean too much work: the server is slow. With quick
-            # answers, or with none, it fails of itself.
-            part, usual = fails.get(index, 0), near.get(ready[index].zone, 0)
-            if part > max(DEAD, 2 * failing) or part > FAILING + 2 * usual and not crowd and ratio < SLOW / 1.5:
+            # Failures with slow answers mean too much work: the server is slow. With quick answers, or with
+            # none, it fails of itself.
+            part = fails.get(index, 0)
+            if part > max(DEAD, 2 * failing) or part > FAILING + 2 * failing and ratio < SLOW / 1.5:
                 bad[index] = "failing"
             elif ratio > SLOW and good >= ENOUGH and own > agreed * 0.4:
                 bad[index] = "slow"
@@ -492,9 +485,8 @@
                     and self._pool(table).keys() - set(table.members)][:0 if busy or len(left) < 2 else 1]
         if health.strikes < (1 if cause == "failing" or health.trial else 2) or not left:
             return
-        whole = sum(server.weight for server in ready.values())
-        out = sum(server.weight for i, server in ready.items() if self.health[i].barred or i == index)
-        if out > whole * (OUT_FAILED if cause == "failing" else OUT_SLOW):
+        out = weigh(server for i, server in ready.items() if self.health[i].barred or i == index)
+        if out > weigh(ready.values()) * (OUT_FAILED if cause == "failing" else OUT_SLOW):
             return
         health.out = cause == "failing"
         health.barred |= frozenset(left)
