--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -55,7 +55,7 @@
     def __init__(self, number, place, zone):
         self.number, self.place, self.zone = number, place, zone
         self.members, self.want, self.lines, self.users = [], {}, {}, set()
-        self.drawn, self.resized_at, self.level, self.ordered, self.guard = False, 0, None, {}, 1.0
+        self.drawn, self.resized_at, self.level, self.guard = False, 0, None, 1.0
 
 
 class Proxy:
@@ -170,8 +170,7 @@
     def proxy_joined(self, proxy, zone, rate, fresh):
         held = self.proxies.get(proxy)
         self.proxies[proxy] = joined = Proxy(zone, rate if 0 < rate < 1e9 else 1.0)
-        if held:
-            joined.demand = held.demand
+        joined.demand = held.demand if held else {}
         if self.tables and not any(table.lines for table in self.tables):
             self._act()
         # At once, whatever the channel's account says: until it is bound it follows old tables.
@@ -321,13 +320,10 @@
         one, other = left[chance.below(len(left))], left[chance.below(len(left))]
         return min(one, other, key=lambda server: (loads[server.index] / server.weight, server.raw))
 
-    def _seeded(self, table, ranked):
-        return Chance(seed_from(self.classes[table.place]["name"], [server.raw for server in ranked]))
-
     def _draw(self, table, pool, need, loads):
         """A shard drawn at random, each server the less loaded of two, capped in its overlap with others."""
         best, ranked = None, sorted(pool.values(), key=lambda server: server.raw)
-        chance = self._seeded(table, ranked)
+        chance = Chance(seed_from(self.classes[table.place]["name"], [server.raw for server in ranked]))
         for _ in range(DRAWS):
             left, shard, weight = list(ranked), [], 0.0
             while left and (weight < need or len(shard) < LEAST_SERVERS):
@@ -371,7 +367,8 @@
             half = weigh(pool.values()) / len(pool) / 2
             left = sorted((pool[index] for index in pool.keys() - set(table.members)), key=lambda s: s.raw)
             while left and (weight < need - half or len(table.members) < LEAST_SERVERS):
-                server = self._pick(left, loads, self._seeded(table, left))
+                name = self.classes[table.place]["name"]
+                server = self._pick(left, loads, Chance(seed_from(name, [server.raw for server in left])))
                 left.remove(server)
                 table.members.append(server.index)
                 weight += server.weight
@@ -451,6 +448,8 @@
         for zone, valve in self.valves.items():
             self._turn_valve(zone, valve, self._ready(zone), everything, fails, agreed, busy)
         failing = median(fails.values()) if fails else 0.0
+        near = {zone: max(failing, median([part for i, part in fails.items() if ready[i].zone == zone]))
+                for zone in {ready[i].zone for i in fails}}
         bad = {}
         for index, reports in recent.items():
             good = sum(report[1] - report[2] for _, report in reports)
@@ -462,8 +461,8 @@
                     own += (tries - failed) / good * took
             # Failures with slow answers mean too much work: the server is slow. With quick answers, or with
             # none, it fails of itself.
-            part = fails.get(index, 0)
-            if part > max(DEAD, 2 * failing) or part > FAILING + 2 * failing and ratio < SLOW / 1.5:
+            part, usual = fails.get(index, 0), near.get(ready[index].zone, 0)
+            if part > max(DEAD, 2 * failing) or part > FAILING + 2 * usual and ratio < SLOW / 1.5:
                 bad[index] = "failing"
             elif ratio > SLOW and good >= ENOUGH and own > agreed * 0.4:
                 bad[index] = "slow"
@@ -610,29 +609,25 @@
     # Sites with slices: each slice's server stays until it drains or goes, then the next in a seeded draw.
 
     def slice_given(self, table, on):
+        self.slices.pop(table, None)
         if on:
-            self.slices[table] = {}
-        else:
-            self.slices.pop(table, None)
+            self.slices[table] = set()
 
     def slice_held(self, table, server, weight):
         if table in self.slices and weight > 0:
-            self.slices[table][server] = weight
+            self.slices[table].add(server)
 
     def slice_demand(self, table, place, exchanges, failed, span):
         pass        # slices are kept where they are; their demand decides nothing yet
 
     def _settle_slices(self):
-        ready = sorted((server for server in self.fleet.values() if server.state == READY),
-                       key=lambda server: server.raw)
+        ready = sorted(self._ready().values(), key=lambda server: server.raw)
+        self._drain_account()
         for table, held in sorted(self.slices.items()):
-            kept = [server for server in held if server in self.fleet and self.fleet[server].state == READY]
+            kept = held & self._ready().keys()
             if not kept and ready and self.waiting < self.charter["waiting_most"] * QUEUE_PART:
                 chance = Chance(seed_from(str(table), [server.raw for server in ready]))
-                server = ready[chance.below(len(ready))].index
-                for old in [] if self.charter["exclusive"] else held:
-                    self.host.line(table, old, 0.0)
-                self.host.line(table, server, 1.0)
-                self.slices[table] = {server: 1.0}
+                self.slices[table] = {ready[chance.below(len(ready))].index}
+                for server in ([] if self.charter["exclusive"] else sorted(held)) + list(self.slices[table]):
+                    self.host.line(table, server, 0.0 if server in held else 1.0)
                 self._charge([proxy for proxy, state in self.proxies.items() if state.joined], 2)
-        self._drain_account()
