A cold server waits beside fewer than four warm ones

Ought to cover any sudden loss in small tables; may hurt where a small zone needs its newcomer at once.

--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -104,10 +104,8 @@
             bound = max(self.open * 1.15, self.target / self.asked)
             part = min(self.open * self.target / max(tried, 1e-9), bound)
             self.open = min(1.0, max(self.open * 1.06, part))
-        if self.open == before:
-            return False
-        self.turned_at = now
-        return True
+        self.turned_at = now if self.open != before else self.turned_at
+        return self.open != before
 
 
 class Assigner:
@@ -209,10 +207,9 @@
     def probed(self, server, outcome, took, load):
         health = self.health[server]
         health.probing = False
+        health.until = self.host.now() + SPELL // 2
         if health.barred and outcome == "ok":
             self._try_again(health)
-        elif health.barred:
-            health.until = self.host.now() + SPELL // 2
 
     def told(self, peer, data):
         pass        # planners share nothing that these decisions need
@@ -225,7 +222,6 @@
             return
         self.host.wake(TURN, 0)
         if self.heard_at > self.reviewed_at and now - self.reviewed_at >= self.charter["report_period"] // 2:
-            self.reviewed_at = now
             self._review()
         for index, health in self.health.items():
             if health.barred and now >= health.until and not health.probing and index in self.fleet:
@@ -286,9 +282,8 @@
 
     def _pool(self, table):
         ready = self._ready(table.zone)
-        full = self.valves[None].open < 1
-        fit = {index: server for index, server in ready.items() if not self.health[index].out
-               and (full or table.place not in self.health[index].barred)}
+        fit = {index: server for index, server in ready.items() if not self.health[index].out and (
+            self.valves[None].open < 1 or table.place not in self.health[index].barred)}
         # With most barred, doubtful servers beat too few: those left would be next.
         return fit if 2 * weigh(fit.values()) >= weigh(ready.values()) else ready
 
@@ -317,8 +312,8 @@
         return spared if enough else pool
 
     def _pick(self, left, loads, chance):
-        one, other = left[chance.below(len(left))], left[chance.below(len(left))]
-        return min(one, other, key=lambda server: (loads[server.index] / server.weight, server.raw))
+        two = (left[chance.below(len(left))] for _ in range(2))
+        return min(two, key=lambda server: (loads[server.index] / server.weight, server.raw))
 
     def _draw(self, table, pool, need, loads):
         """A shard drawn at random, each server the less loaded of two, capped in its overlap with others."""
@@ -334,10 +329,10 @@
             overlap = max((len(set(shard) & set(other.members)) / len(shard) for other in self.tables
                            if other is not table and other.members), default=0)
             peak = max(loads[index] / pool[index].weight for index in shard)
-            best = min(best or ((overlap, peak), shard), ((overlap, peak), shard))
+            best = min(best or (2.0,), (overlap, peak, shard))
             if overlap <= OVERLAP_MOST:
                 break
-        return best[1]
+        return best[2]
 
     def _need(self, table, pool, rates):
         """The listed weight that a shard wants; of a zone's table, by the zone's part of the demand."""
@@ -403,7 +398,12 @@
         budgets = {index: server.weight * pace * (share + grown * max(0, now - server.started))
                    for index, server in ready.items() if server.started and now - server.started < cold_time}
         for table in self.tables:
-            table.want = {m: self.fleet[m].weight * self._ramp(self.fleet[m]) for m in table.members}
+            # Beside few warm ones a cold server waits: were those lost, it would be sent all that they had
+            # before any list or report can tell.
+            warm = [m for m in table.members if m not in budgets or now - ready[m].started > cold_time // 2]
+            few = 0 < len(warm) < LEAST_SERVERS
+            table.want = {m: self.fleet[m].weight * self._ramp(self.fleet[m])
+                          for m in (warm if few else table.members)}
         # Ramps are relative: where most of a shard is cold they protect nothing. Load over all classes is
         # bounded on each cold server; what warm ones can't take is kept out by the tables' levels.
         for last in [False] * 6 + [True]:
@@ -431,8 +431,8 @@
         return self.levels[table.place] * (self.valves[table.zone].open if table.zone is not None else 1.0)
 
     def _review(self):
-        now, agreed = self.host.now(), min(kind["agreed_time"] for kind in self.classes)
-        since, ready = now - self.charter["report_period"] * 5 // 4, self._ready()
+        agreed, ready = min(kind["agreed_time"] for kind in self.classes), self._ready()
+        self.reviewed_at, since = self.host.now(), self.host.now() - self.charter["report_period"] * 5 // 4
         recent, times, fails = {}, defaultdict(list), {}
         for index, server in ready.items():
             recent[index] = [(zone, report) for zone, reports in self.health[index].reports.items()
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -54,6 +54,15 @@
         rig.run(3)
         self.compare("all-cold", rig)
 
+    def test_cold_server_waits_beside_few_warm_ones(self):
+        rig = Rig()
+        rig.start(fleet(4))
+        rig.run(4)
+        rig.printed.clear()
+        rig.change(server(3, started=rig.clock))
+        rig.run(12)
+        self.compare("few-warm", rig)
+
     def test_messages_stay_under_the_limit(self):
         rig = Rig(charter(messages_most=8))
         rig.start(fleet())
