--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -22,7 +22,7 @@
 SLOW, FAILING, DEAD, ENOUGH = 2.2, 0.25, 0.85, 8
 OUT_SLOW, OUT_FAILED = 0.2, 0.5      # share of listed weight that may be out for either cause
 SPELL, SPELL_MOST = 8 * SECOND, 40 * SECOND
-BUSY, CALM, ABLE_PART = 0.5, 0.4, 0.9
+BUSY, CALM, ABLE_PART, FULL = 0.5, 0.4, 0.9, 1.2
 LINES_TURN, QUEUE_PART = 0.25, 0.45  # seconds of the channel an ordinary push may take; part of its limit
 
 
@@ -59,9 +59,9 @@
 
 
 class Proxy:
-    def __init__(self, zone, rate):
-        self.zone, self.rate, self.joined = zone, rate, True
-        self.left_at, self.written, self.demand = 0, deque(), {}
+    def __init__(self, zone, rate, demand):
+        self.zone, self.rate, self.demand, self.joined = zone, rate, demand, True
+        self.left_at, self.written = 0, deque(maxlen=256)
 
 
 class Health:
@@ -80,7 +80,8 @@
 
     def __init__(self):
         self.open, self.target, self.asked, self.failed = 1.0, 0.0, 0.0, 0.0
-        self.turned_at, self.cut, self.shown, self.seen = 0, False, deque(maxlen=32), deque(maxlen=3)
+        self.turned_at, self.cut, self.calmest = 0, False, 9.0
+        self.shown, self.seen = deque(maxlen=32), deque(maxlen=3)
 
     def turn(self, now, echo, busy, failing, tried, done, weight):
         # In a jam the fleet completes less than it can, for work done for clients that have given up counts
@@ -92,6 +93,7 @@
             self.asked = max(tried, 1e-9)           # later, repeats would count as demand
         # One period ahead: what is ordered now takes effect only then.
         self.seen.append(busy)
+        self.calmest = min(self.calmest, max(self.seen))
         busy += max(0.0, busy - self.seen[0])
         if busy + 4 * min(failing, 0.1) > BUSY and (settled or failing > self.failed + 0.15):
             # Below it by the part that fails, to let the queues drain before clients' repeats fill them.
@@ -166,9 +168,8 @@
     # Proxies.
 
     def proxy_joined(self, proxy, zone, rate, fresh):
-        held = self.proxies.get(proxy)
-        self.proxies[proxy] = joined = Proxy(zone, rate if 0 < rate < 1e9 else 1.0)
-        joined.demand = held.demand if held else {}
+        demand = self.proxies[proxy].demand if proxy in self.proxies else {}
+        self.proxies[proxy] = Proxy(zone, rate if 0 < rate < 1e9 else 1.0, demand)
         if self.tables and not any(table.lines for table in self.tables):
             self._act()
         # At once, whatever the channel's account says: until it is bound it follows old tables.
@@ -283,7 +284,7 @@
     def _pool(self, table):
         ready = self._ready(table.zone)
         fit = {index: server for index, server in ready.items() if not self.health[index].out and (
-            self.valves[None].open < 1 or table.place not in self.health[index].barred)}
+            self._full() or table.place not in self.health[index].barred)}
         # With most barred, doubtful servers beat too few: those left would be next.
         return fit if 2 * weigh(fit.values()) >= weigh(ready.values()) else ready
 
@@ -334,6 +335,11 @@
                 break
         return best[2]
 
+    def _full(self):
+        """Whether the fleet is too busy to keep classes apart: some servers would idle beside jammed ones."""
+        valve = self.valves[None]
+        return valve.open < 1 or len(valve.seen) > 2 and min(valve.seen) > FULL * valve.calmest
+
     def _need(self, table, pool, rates):
         """The listed weight that a shard wants; of a zone's table, by the zone's part of the demand."""
         here, part = weigh(pool.values()), self.shares[table.place]
@@ -341,8 +347,7 @@
             wide = sum(rate for (place, _), rate in rates.items() if place == table.place)
             own = rates[table.place, table.zone]
             part *= own / max(wide, 1e-9) * weigh(self._ready().values()) / here
-        # A fleet that is full has no room to keep classes apart: some servers would idle beside jammed ones.
-        return here * (min(1.0, SHARE_TARGET * part) if self.valves[None].open == 1 else 1.0)
+        return here * (min(1.0, SHARE_TARGET * part) if not self._full() else 1.0)
 
     def _shards(self, rates):
         now, whole = self.host.now(), weigh(self._ready().values())
@@ -547,13 +552,8 @@
     def _push(self):
         """Writes what has changed: what the rules need first, then the largest, as the channel allows."""
         now, most, span = self.host.now(), self.charter["messages_most"], self.charter["messages_span"]
-        ready, joined, full = self._ready(), [], 0
-        for number, proxy in self.proxies.items():
-            while proxy.written and now - proxy.written[0] > span:
-                proxy.written.popleft()
-            if proxy.joined:
-                joined.append(number)
-                full = max(full, len(proxy.written))
+        ready, joined = self._ready(), [number for number, proxy in self.proxies.items() if proxy.joined]
+        full = max((sum(now - at <= span for at in self.proxies[n].written) for n in joined), default=0)
         stale = (self.health.keys() - ready.keys() - self.withdrawn) | (self.withdrawn & ready.keys())
         changes = []
         for table in self.tables:
