--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -83,7 +83,7 @@
         self.turned_at, self.cut, self.calmest = 0, False, 9.0
         self.shown, self.seen = deque(maxlen=32), deque(maxlen=3)
 
-    def turn(self, now, echo, busy, failing, tried, done, weight):
+    def turn(self, now, echo, busy, failing, tried, done, weight, may_cut):
         # In a jam the fleet completes less than it can, for work done for clients that have given up counts
         # for nothing; levels cut to that would never find the way out. So the best it has shown, but for two.
         self.shown.append(done / weight)
@@ -95,7 +95,7 @@
         self.seen.append(busy)
         self.calmest = min(self.calmest, max(self.seen))
         busy += max(0.0, busy - self.seen[0])
-        if busy + 4 * min(failing, 0.1) > BUSY and (settled or failing > self.failed + 0.15):
+        if busy + 4 * min(failing, 0.1) > BUSY and may_cut and (settled or failing > self.failed + 0.15):
             # Below it by the part that fails, to let the queues drain before clients' repeats fill them.
             self.target, self.failed, self.cut = (ABLE_PART - min(0.5, failing)) * able, failing, True
             part = max(self.open * self.target / max(tried, 1e-9), 0.6 * self.target / self.asked)
@@ -521,10 +521,8 @@
         busy = median(took) / agreed if took else 2.0
         # Where the fleet is jammed or its valve is turned, that one decides, which knows whose credit is
         # least, unless this zone is far worse off than the rest.
-        if zone is not None and busy > CALM and (fleet_busy > BUSY or self.valves[None].open < 1 and
-                                                 busy < 1.5 * fleet_busy):
-            return
-        if valve.turn(now, self._echo(), busy, median(failing), tried, done, weight):
+        may_cut = zone is None or self.valves[None].open == 1 or fleet_busy < BUSY and busy > 1.5 * fleet_busy
+        if valve.turn(now, self._echo(), busy, median(failing), tried, done, weight, may_cut):
             refuse = 1 - self.valves[None].open
             for place in sorted(self.order, key=lambda k: (self.classes[k]["credit"], k)):
                 # What earns the least credit is refused first, but never all of it.
