--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -89,7 +89,7 @@
         self.shown.append(done / weight)
         able = sorted(self.shown)[-min(3, len(self.shown))] * weight
         before, settled = self.open, now >= self.turned_at + echo
-        if self.open == 1 and (busy < CALM or not self.asked):
+        if self.open == 1 and (busy + 4 * failing < CALM or not self.asked):
             self.asked = max(tried, 1e-9)           # later, repeats would count as demand
         # One period ahead: what is ordered now takes effect only then.
         self.seen.append(busy)
