Valves go by the 0.6 quantile of answer times instead of the median

Cause: servers do not saturate together; by the time half of them are slow the queues are full. Two fifths are enough to tell a flood from a few bad servers, of which at most a fifth are struck at once.

--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -23,6 +23,7 @@
 OUT_SLOW, OUT_FAILED = 0.2, 0.5      # share of listed weight that may be out for either cause
 SPELL, SPELL_MOST = 8 * SECOND, 40 * SECOND
 BUSY, CALM, ABLE_PART, FULL = 0.5, 0.4, 0.9, 1.2
+CROWD = 0.6                 # quantile of answer times that a valve goes by
 LINES_TURN, QUEUE_PART = 0.25, 0.45  # seconds of the channel an ordinary push may take; part of its limit
 
 
@@ -518,7 +519,7 @@
         if not (weight and tried and failing):
             return
         # No answer at all, though much was tried, is the deepest jam, not a calm.
-        busy = median(took) / agreed if took else 2.0
+        busy = sorted(took)[int(len(took) * CROWD)] / agreed if took else 2.0
         # Where the fleet is jammed or its valve is turned, that one decides, which knows whose credit is
         # least, unless this zone is far worse off than the rest.
         may_cut = zone is None or self.valves[None].open == 1 or fleet_busy < BUSY and busy > 1.5 * fleet_busy
