--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -395,10 +395,11 @@
     def _weigh(self, rates):
         now, cold_time, share = self.host.now(), self.charter["cold_time"], self.charter["cold_share"]
         # A warm server does at least what the fleet has lately completed for each unit of listed weight, or,
-        # before anything is heard, what proxies say they usually bring.
+        # before anything is heard, half of what proxies say they usually bring: a planner that starts over
+        # may come into a jam, where repeats swell what they say.
         shown, ready = sorted(self.valves[None].shown), self._ready()
         pace = shown[-min(3, len(shown))] if shown else sum(
-            proxy.rate for proxy in self.proxies.values()) / max(1e-9, weigh(ready.values()))
+            proxy.rate for proxy in self.proxies.values()) / max(1e-9, 2 * weigh(ready.values()))
         pace *= self.charter["tip_multiple"] * TIP_MARGIN / self.charter["instances"]
         grown = (1 - share) / cold_time
         budgets = {index: server.weight * pace * (share + grown * max(0, now - server.started))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -54,6 +54,15 @@
         rig.run(3)
         self.compare("all-cold", rig)
 
+    def test_starting_over_among_cold_servers_is_careful(self):
+        rig = Rig()
+        rig.clock = 60 * SECOND
+        rig.assigner.listed(CHANGES, [server(index, started=57 * SECOND if index % 2 else 0) for index in range(8)])
+        for proxy in range(4):
+            rig.assigner.proxy_joined(proxy, 0, 80.0, False)
+        rig.run(3)
+        self.compare("starting-over", rig)
+
     def test_cold_server_waits_beside_few_warm_ones(self):
         rig = Rig()
         rig.start(fleet(4))
