--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -95,7 +95,7 @@
         # One period ahead: what is ordered now takes effect only then.
         self.seen.append(busy)
         self.calmest = min(self.calmest, max(self.seen))
-        busy += max(0.0, busy - self.seen[0])
+        busy += min(0.15, max(0.0, busy - self.seen[0]))
         if busy + 4 * min(failing, 0.1) > BUSY and may_cut and (settled or failing > self.failed + 0.15):
             # Below it by the part that fails, to let the queues drain before clients' repeats fill them.
             self.target, self.failed, self.cut = (ABLE_PART - min(0.5, failing)) * able, failing, True
