--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -23,7 +23,6 @@
 OUT_SLOW, OUT_FAILED = 0.2, 0.5      # share of listed weight that may be out for either cause
 SPELL, SPELL_MOST = 8 * SECOND, 40 * SECOND
 BUSY, CALM, ABLE_PART, FULL = 0.5, 0.4, 0.9, 1.2
-CROWD = 0.6                 # quantile of answer times that a valve goes by
 LINES_TURN, QUEUE_PART = 0.25, 0.45  # seconds of the channel an ordinary push may take; part of its limit
 
 
@@ -53,8 +52,8 @@
 class Table:
     """One class's table (own-zone classes: one for each zone) and what its proxies hold of it."""
 
-    def __init__(self, number, place, zone):
-        self.number, self.place, self.zone = number, place, zone
+    def __init__(self, number, place, zone, name):
+        self.number, self.place, self.zone, self.name = number, place, zone, name
         self.members, self.want, self.lines, self.users = [], {}, {}, set()
         self.drawn, self.resized_at, self.level, self.guard = False, 0, None, 1.0
 
@@ -91,7 +90,7 @@
         able = sorted(self.shown)[-min(3, len(self.shown))] * weight
         before, settled = self.open, now >= self.turned_at + echo
         if self.open == 1 and (busy + 4 * failing < CALM or not self.asked):
-            self.asked = max(tried, 1e-9)           # later, repeats would count as demand
+            self.asked = tried          # later, repeats would count as demand
         # One period ahead: what is ordered now takes effect only then.
         self.seen.append(busy)
         self.calmest = min(self.calmest, max(self.seen))
@@ -99,13 +98,12 @@
         if busy + 4 * min(failing, 0.1) > BUSY and may_cut and (settled or failing > self.failed + 0.15):
             # Below it by the part that fails, to let the queues drain before clients' repeats fill them.
             self.target, self.failed, self.cut = (ABLE_PART - min(0.5, failing)) * able, failing, True
-            part = max(self.open * self.target / max(tried, 1e-9), 0.6 * self.target / self.asked)
+            part = max(self.open * self.target / tried, 0.6 * self.target / self.asked)
             self.open = max(0.1, min(self.open, part))
         elif self.open < 1 and busy < CALM and (settled or self.cut):
             # Reports lag: one step up on the first calm ones, no further than what was asked for.
             self.target, self.failed, self.cut = max(self.target * 1.06, ABLE_PART * able), 0.0, False
-            bound = max(self.open * 1.15, self.target / self.asked)
-            part = min(self.open * self.target / max(tried, 1e-9), bound)
+            part = min(self.open * self.target / tried, max(self.open * 1.15, self.target / self.asked))
             self.open = min(1.0, max(self.open * 1.06, part))
         self.turned_at = now if self.open != before else self.turned_at
         return self.open != before
@@ -120,10 +118,11 @@
         for place in [] if charter["slices"] else self.order:
             for zone in range(zones) if self.classes[place]["own_zone"] else [None]:
                 number = place * (zones + 1) + (0 if zone is None else zone + 1)
-                self.tables.append(Table(number, place, zone))
+                self.tables.append(Table(number, place, zone, self.classes[place]["name"]))
                 self.valves[zone] = Valve()
         self.fleet, self.health, self.proxies = {}, defaultdict(Health), {}
-        self.withdrawn, self.shares, self.natural, self.shared_at = set(), {}, {}, 0
+        self.withdrawn, self.shares, self.shared_at = set(), {}, 0
+        self.natural = {place: 1 / len(self.order) for place in self.order}
         self.levels = {place: 1.0 for place in self.order}
         self.waiting, self.waited_at, self.channel, self.reached = 0.0, host.now(), 1.0, set()
         self.marks, self.mark_number, self.pushed_at = {}, 0, host.now() - 10 * SECOND
@@ -192,8 +191,8 @@
     def heard(self, zone, server, tries, failed, took, span, load):
         self.heard_at = self.host.now()
         if tries and span:
-            kept = self.health[server].reports.setdefault(zone, deque(maxlen=4))
-            kept.append((self.heard_at, tries, min(failed, tries), took, span))
+            self.health[server].reports.setdefault(zone, deque(maxlen=4)).append(
+                (self.heard_at, tries, min(failed, tries), took, span))
 
     def demand(self, proxy, place, exchanges, failed, span):
         if proxy in self.proxies and span:
@@ -220,10 +219,10 @@
         now = self.host.now()
         if not self.subscribed and (token == 1 or now - self.asked_at > 20 * SECOND):
             self._ask()
-        if token == 1:
-            return
-        self.host.wake(TURN, 0)
-        if self.heard_at > self.reviewed_at and now - self.reviewed_at >= self.charter["report_period"] // 2:
+        if token == 0:
+            self.host.wake(TURN, 0)
+        due = self.reviewed_at + self.charter["report_period"] // 2
+        if self.tables and self.heard_at > self.reviewed_at and now >= due:
             self._review()
         for index, health in self.health.items():
             if health.barred and now >= health.until and not health.probing and index in self.fleet:
@@ -272,10 +271,9 @@
 
     def _resize(self, rates):
         now, total = self.host.now(), sum(rates.values())
-        if self.valves[None].open == 1:     # else repeats of refused ones would count as demand
-            heard = total and any(proxy.demand for proxy in self.proxies.values())
+        if self.valves[None].open == 1 and total:       # else repeats of refused ones would count as demand
             self.natural = {place: sum(rate for (k, _), rate in rates.items() if k == place) / total
-                            if heard else 1 / len(self.order) for place in self.order}
+                            for place in self.order}
         moved = max(abs(self.natural[place] - self.shares.get(place, 0)) for place in self.order)
         if not self.shares or moved > RESIZE_BY and now - self.shared_at > RESIZE_EVERY:
             self.shares, self.shared_at = self.natural, now
@@ -304,9 +302,7 @@
     def _spared(self, table, pool, rates, mean):
         """The pool without servers that zone-bound shards alone load above the fleet's mean: a class that may
         go anywhere leaves them. Other shards do not count: classes would part the fleet between them."""
-        if table.zone is not None:
-            return pool
-        loads = self._planned(rates, table, bound=True)
+        loads = self._planned(rates, table, bound=True) if table.zone is None else defaultdict(float)
         bound = {index: (HOT if index in table.members else COOL) * mean * server.weight
                  for index, server in pool.items()}
         spared = {index: server for index, server in pool.items() if loads[index] <= bound[index]}
@@ -320,7 +316,7 @@
     def _draw(self, table, pool, need, loads):
         """A shard drawn at random, each server the less loaded of two, capped in its overlap with others."""
         best, ranked = None, sorted(pool.values(), key=lambda server: server.raw)
-        chance = Chance(seed_from(self.classes[table.place]["name"], [server.raw for server in ranked]))
+        chance = Chance(seed_from(table.name, [server.raw for server in ranked]))
         for _ in range(DRAWS):
             left, shard, weight = list(ranked), [], 0.0
             while left and (weight < need or len(shard) < LEAST_SERVERS):
@@ -337,7 +333,7 @@
         return best[2]
 
     def _full(self):
-        """Whether the fleet is too busy to keep classes apart: some servers would idle beside jammed ones."""
+        """Too busy to keep classes apart: some servers would idle beside jammed ones."""
         valve = self.valves[None]
         return valve.open < 1 or len(valve.seen) > 2 and min(valve.seen) > FULL * valve.calmest
 
@@ -346,8 +342,7 @@
         here, part = weigh(pool.values()), self.shares[table.place]
         if table.zone is not None and here:
             wide = sum(rate for (place, _), rate in rates.items() if place == table.place)
-            own = rates[table.place, table.zone]
-            part *= own / max(wide, 1e-9) * weigh(self._ready().values()) / here
+            part *= rates[table.place, table.zone] / max(wide, 1e-9) * weigh(self._ready().values()) / here
         return here * (min(1.0, SHARE_TARGET * part) if not self._full() else 1.0)
 
     def _shards(self, rates):
@@ -368,8 +363,7 @@
             half = weigh(pool.values()) / len(pool) / 2
             left = sorted((pool[index] for index in pool.keys() - set(table.members)), key=lambda s: s.raw)
             while left and (weight < need - half or len(table.members) < LEAST_SERVERS):
-                name = self.classes[table.place]["name"]
-                server = self._pick(left, loads, Chance(seed_from(name, [server.raw for server in left])))
+                server = self._pick(left, loads, Chance(seed_from(table.name, [s.raw for s in left])))
                 left.remove(server)
                 table.members.append(server.index)
                 weight += server.weight
@@ -467,8 +461,8 @@
                     ratio += (tries - failed) / good * took / median(others)
                     own += (tries - failed) / good * took
             # Against medians: where most servers are bad the cause is common, and moving work would only
-            # spread it. Failures with slow answers mean too much work: the server is slow. With quick answers, or with
-            # none, it fails of itself.
+            # spread it. Failures with slow answers mean too much work: the server is slow. With quick
+            # answers, or with none, it fails of itself.
             part, usual = fails.get(index, 0), near.get(ready[index].zone, 0)
             if part > max(DEAD, 2 * failing) or part > FAILING + 2 * usual and ratio < SLOW / 1.5:
                 bad[index] = "failing"
@@ -518,8 +512,8 @@
         failing = [part for index, part in fails.items() if index in ready]
         if not (weight and tried and failing):
             return
-        # No answer at all, though much was tried, is the deepest jam, not a calm.
-        busy = sorted(took)[int(len(took) * CROWD)] / agreed if took else 2.0
+        # Two of five slow answers tell a flood from a few bad servers. No answer at all is the deepest jam.
+        busy = sorted(took)[int(len(took) * 0.6)] / agreed if took else 2.0
         # Where the fleet is jammed or its valve is turned, that one decides, which knows whose credit is
         # least, unless this zone is far worse off than the rest.
         may_cut = zone is None or self.valves[None].open == 1 or fleet_busy < BUSY and busy > 1.5 * fleet_busy
@@ -553,8 +547,7 @@
         now, most, span = self.host.now(), self.charter["messages_most"], self.charter["messages_span"]
         ready, joined = self._ready(), [number for number, proxy in self.proxies.items() if proxy.joined]
         full = max((sum(now - at <= span for at in self.proxies[n].written) for n in joined), default=0)
-        stale = (self.health.keys() - ready.keys() - self.withdrawn) | (self.withdrawn & ready.keys())
-        changes = []
+        stale, changes = self._stale(ready), []
         for table in self.tables:
             for server in table.lines.keys() | table.want.keys():
                 old, new = table.lines.get(server, 0.0), round(table.want.get(server, 0.0), 4)
@@ -569,10 +562,7 @@
         gap = max(TURN, span * 2 // most if most else 0)
         if not (stale or changes) or not pressing and now - self.pushed_at < gap or 0 < most <= full + 1:
             return
-        for server in sorted(stale):
-            self.host.withdraw(server, server not in ready)
-            self._charge(joined, 1)
-        self.withdrawn ^= stale
+        self._withdraw(stale, ready, joined)
         self._drain_account()
         limit = self.charter["waiting_most"] * QUEUE_PART
         for ordinary, _, _, server, value, table in sorted(changes, key=lambda change: change[:4]):
@@ -598,12 +588,21 @@
             self.marks = {k: mark for k, mark in self.marks.items() if now - mark[0] < 20 * SECOND}
             self.marks[self.mark_number] = now, self.waiting
 
+    def _stale(self, ready):
+        return (self.health.keys() - ready.keys() - self.withdrawn) | (self.withdrawn & ready.keys())
+
+    def _withdraw(self, stale, ready, joined):
+        for server in sorted(stale):
+            self.host.withdraw(server, server not in ready)
+            self.health[server].until = self.host.now()
+            self._charge(joined, 1)
+        self.withdrawn ^= stale
+
     def _stated(self, table, level):
         if self.charter["levels"] != "rate":
             return level
-        rate = sum(r for (place, zone), r in self._rates().items()
-                   if place == table.place and table.zone in (None, zone))
-        return 1e6 if level >= 1 else max(0.1, level * rate / max(1, len(table.users)))
+        rate = self._rate(table, self._rates()) * level / self._level(table)
+        return 1e6 if level >= 1 else max(0.1, rate / max(1, len(table.users)))
 
     # Sites with slices: each slice's server stays until it drains or goes, then the next in a seeded draw.
 
@@ -620,13 +619,19 @@
         pass        # slices are kept where they are; their demand decides nothing yet
 
     def _settle_slices(self):
-        ready = sorted(self._ready().values(), key=lambda server: server.raw)
+        now, ready = self.host.now(), self._ready()
+        joined = [proxy for proxy, state in self.proxies.items() if state.joined]
+        self._withdraw(self._stale(ready), ready, joined)
         self._drain_account()
+        # A single owner hands over only when no write can be on its way to it any more.
+        single = self.charter["exclusive"]
+        rest = 2 * self.charter["way_longest"] + self.charter["settle_time"] if single else 0
+        ranked = sorted(ready.values(), key=lambda server: server.raw)
         for table, held in sorted(self.slices.items()):
-            kept = held & self._ready().keys()
-            if not kept and ready and self.waiting < self.charter["waiting_most"] * QUEUE_PART:
-                chance = Chance(seed_from(str(table), [server.raw for server in ready]))
-                self.slices[table] = {ready[chance.below(len(ready))].index}
-                for server in ([] if self.charter["exclusive"] else sorted(held)) + list(self.slices[table]):
+            free = not held & ready.keys() and all(now >= self.health[old].until + rest for old in held)
+            if free and ranked and self.waiting < self.charter["waiting_most"] * QUEUE_PART:
+                chance = Chance(seed_from(str(table), [server.raw for server in ranked]))
+                self.slices[table] = {ranked[chance.below(len(ranked))].index}
+                for server in ([] if single else sorted(held)) + list(self.slices[table]):
                     self.host.line(table, server, 0.0 if server in held else 1.0)
-                self._charge([proxy for proxy, state in self.proxies.items() if state.joined], 2)
+                self._charge(joined, 2)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -228,11 +228,22 @@
         rig.assigner.listed(CHANGES, fleet(4))
         rig.assigner.slice_given(2, True)
         rig.assigner.slice_held(2, 1, 1.0)
-        rig.run(1)
+        rig.assigner.slice_demand(2, 0, 9, 1, SECOND)
+        rig.run(4, lambda rig: [rig.assigner.heard(0, index, 20, 19, 900_000, SECOND, None) for index in range(4)])
         self.assertFalse(rig.tables)
         rig.change(server(1, GONE))
         self.assertEqual(len(rig.tables[2]), 2)
 
+    def test_single_owner_hands_over_after_a_rest(self):
+        rig = Rig(charter(slices=8, exclusive=True))
+        rig.assigner.listed(CHANGES, fleet(4))
+        rig.assigner.slice_given(2, True)
+        rig.assigner.slice_held(2, 1, 1.0)
+        rig.change(server(1, DRAINING))
+        self.assertFalse(rig.tables)
+        rig.run(2)
+        self.assertEqual(len(rig.tables[2]), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
