--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -17,8 +17,7 @@
 RESIZE_EVERY, RESIZE_BY = 10 * SECOND, 0.08
 HOT, COOL = 1.15, 0.95      # planned load by other shards, over the fleet's mean, that keeps a server out
 RAMP_FROM, RAMP_STEPS = 0.25, 3      # a newcomer's first weight; doublings spread over the cold time
-# Guards.
-TIP_MARGIN = 0.4            # part of what would tip a cold server that is planned for
+TIP_MARGIN = 0.4            # guard: part of what would tip a cold server that is planned for
 SLOW, FAILING, DEAD, ENOUGH = 2.2, 0.25, 0.85, 8
 OUT_SLOW, OUT_FAILED = 0.2, 0.5      # share of listed weight that may be out for either cause
 SPELL, SPELL_MOST = 8 * SECOND, 40 * SECOND
@@ -240,7 +239,7 @@
         rates = self._rates()
         self._resize(rates)
         self._shards(rates)
-        self._weigh(rates)
+        self._weigh(self._rates(peak=True))      # what cold servers may meet, not the mean of it
         self._push()
 
     # Demand.
@@ -249,7 +248,7 @@
         """How long after an order reports can reflect it: its way out, and one whole period after."""
         return self.charter["way_longest"] + 2 * self.charter["report_period"]
 
-    def _rates(self):
+    def _rates(self, peak=False):
         """Exchanges a second by class and zone of the proxies, those lately out of reach among them."""
         now, rates = self.host.now(), defaultdict(float)
         for proxy in self.proxies.values():
@@ -258,7 +257,8 @@
             for place in self.order:
                 samples = proxy.demand.get(place)
                 if samples:
-                    rate = sum(sample[0] for sample in samples) * SECOND / sum(s[1] for s in samples)
+                    rate = max(many * SECOND / span for many, span in samples) if peak else (
+                        sum(many for many, _ in samples) * SECOND / sum(span for _, span in samples))
                 else:
                     rate = 0.0 if proxy.demand else proxy.rate / len(self.order)
                 rates[place, proxy.zone] += rate
@@ -400,9 +400,9 @@
                    for index, server in ready.items() if server.started and now - server.started < cold_time}
         for table in self.tables:
             # Beside few warm ones a cold server waits: were those lost, it would be sent all that they had
-            # before any list or report can tell.
+            # before any list or report can tell. So it does in a jam, when proxies step away from the rest.
             warm = [m for m in table.members if m not in budgets or now - ready[m].started > cold_time // 2]
-            few = 0 < len(warm) < LEAST_SERVERS
+            few = warm and (len(warm) < LEAST_SERVERS or self.valves[None].cut)
             table.want = {m: self.fleet[m].weight * self._ramp(self.fleet[m])
                           for m in (warm if few else table.members)}
         # Ramps are relative: where most of a shard is cold they protect nothing. Load over all classes is
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -86,6 +86,17 @@
         rig.run(12)
         self.compare("few-warm", rig)
 
+    def test_cold_server_waits_for_a_jam_to_pass(self):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(6, lambda rig: rig.report())
+        rig.run(4, lambda rig: rig.report(lambda index: 900_000, lambda index: 15))
+        rig.change(server(12, started=rig.clock))
+        rig.run(3, lambda rig: rig.report(lambda index: 900_000, lambda index: 15))
+        self.assertFalse(any(lines.get(12) for lines in rig.tables.values()))
+        rig.run(8, lambda rig: rig.report())
+        self.assertTrue(all(lines.get(12) for lines in rig.tables.values()))
+
     def test_messages_stay_under_the_limit(self):
         rig = Rig(charter(messages_most=8))
         rig.start(fleet())
