--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -239,7 +239,7 @@
         rates = self._rates()
         self._resize(rates)
         self._shards(rates)
-        self._weigh(self._rates(peak=True))      # what cold servers may meet, not the mean of it
+        self._weigh(self._rates(peak=True))      # small zones swing: not their mean
         self._push()
 
     # Demand.
@@ -257,7 +257,7 @@
             for place in self.order:
                 samples = proxy.demand.get(place)
                 if samples:
-                    rate = max(many * SECOND / span for many, span in samples) if peak else (
+                    rate = max(many * SECOND / span for many, span in samples) if peak and self.classes[place]["own_zone"] else (
                         sum(many for many, _ in samples) * SECOND / sum(span for _, span in samples))
                 else:
                     rate = 0.0 if proxy.demand else proxy.rate / len(self.order)
