--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -239,7 +239,7 @@
         rates = self._rates()
         self._resize(rates)
         self._shards(rates)
-        self._weigh(self._rates(peak=True))      # small zones swing: not their mean
+        self._weigh(self._rates(peak={k for k in self.order if self.classes[k]["own_zone"]}))
         self._push()
 
     # Demand.
@@ -248,8 +248,8 @@
         """How long after an order reports can reflect it: its way out, and one whole period after."""
         return self.charter["way_longest"] + 2 * self.charter["report_period"]
 
-    def _rates(self, peak=False):
-        """Exchanges a second by class and zone of the proxies, those lately out of reach among them."""
+    def _rates(self, peak=()):
+        """Exchanges a second by class and zone, of proxies lately out of reach too; or at their `peak`."""
         now, rates = self.host.now(), defaultdict(float)
         for proxy in self.proxies.values():
             if not proxy.joined and now - proxy.left_at > 20 * SECOND:
@@ -257,7 +257,7 @@
             for place in self.order:
                 samples = proxy.demand.get(place)
                 if samples:
-                    rate = max(many * SECOND / span for many, span in samples) if peak and self.classes[place]["own_zone"] else (
+                    rate = max(many * SECOND / span for many, span in samples) if place in peak else (
                         sum(many for many, _ in samples) * SECOND / sum(span for _, span in samples))
                 else:
                     rate = 0.0 if proxy.demand else proxy.rate / len(self.order)
