A test for the peak of a zone-bound class's demand

It fails when the mean is planned for instead, as tried. The skip of the review at sites with slices has no test of its own that fails without it: shares now have a value from the start, so the crash it once answered cannot recur.

--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -77,6 +77,14 @@
         rig.run(3)
         self.compare("starting-over", rig)
 
+    def test_cold_zone_is_planned_for_the_peak_of_its_own_class(self):
+        rig = zoned()
+        rig.run(6, lambda rig: rig.report(demand=(30, 30 if rig.clock // SECOND % 3 else 150)))
+        rig.printed.clear()
+        rig.change(*[server(index, zone=1, started=rig.clock) for index in range(1, 12, 2)])
+        rig.printed = [line for line in rig.printed if "level" in line]
+        self.compare("cold-zone", rig)
+
     def test_cold_server_waits_beside_few_warm_ones(self):
         rig = Rig()
         rig.start(fleet(4))
