--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -14,6 +14,7 @@
 TURN = SECOND // 4          # between two looks at reports, shards and the channel
 # Shards (the design's starting values, and what measuring has made of them).
 SHARE_TARGET, LEAST_SERVERS, OVERLAP_MOST, DRAWS = 2.0, 4, 0.5, 5
+ZONE_PROXIES, GROUP_PROXIES = 10, 25   # of a zone, from where classes are parted by zone, and into groups
 RESIZE_EVERY, RESIZE_BY = 10 * SECOND, 0.08
 HOT, COOL = 1.15, 0.95      # planned load by other shards, over the fleet's mean, that keeps a server out
 RAMP_FROM, RAMP_STEPS = 0.25, 3      # a newcomer's first weight; doublings spread over the cold time
@@ -49,10 +50,10 @@
 
 
 class Table:
-    """One class's table (own-zone classes: one for each zone) and what its proxies hold of it."""
+    """One class's table, or one of its groups of proxies, and what they hold of it. `bound`: to its zone."""
 
-    def __init__(self, number, place, zone, name):
-        self.number, self.place, self.zone, self.name = number, place, zone, name
+    def __init__(self, number, place, zone, bound, name):
+        self.number, self.place, self.zone, self.bound, self.name = number, place, zone, bound, name
         self.members, self.want, self.lines, self.users = [], {}, {}, set()
         self.drawn, self.resized_at, self.level, self.guard = False, 0, None, 1.0
 
@@ -113,15 +114,27 @@
         self.host, self.charter, self.chance = host, charter, Chance(seed)
         self.classes, zones = charter["classes"], charter["zones"]
         self.order = sorted(range(len(self.classes)), key=lambda k: self.classes[k]["name"])
-        self.tables, self.valves = [], {None: Valve()}
+        self.tables, self.valves, self.serving = [], {None: Valve()}, defaultdict(list)
+        # One table of a shard for all proxies would be proxies times servers connections and lines: where
+        # proxies are many, those of a zone form groups, each a class of its own to the shards.
+        apart = charter["proxies"] >= zones * ZONE_PROXIES
+        self.parts = max(1, charter["proxies"] // (zones * GROUP_PROXIES))
         for place in [] if charter["slices"] else self.order:
-            for zone in range(zones) if self.classes[place]["own_zone"] else [None]:
-                number = place * (zones + 1) + (0 if zone is None else zone + 1)
-                self.tables.append(Table(number, place, zone, self.classes[place]["name"]))
-                self.valves[zone] = Valve()
+            kind, per_zone = self.classes[place], apart or self.classes[place]["own_zone"]
+            for zone in range(zones) if per_zone else [None]:
+                for part in range(self.parts):
+                    number = (part * len(self.order) + place) * (zones + 1)
+                    number += 0 if zone is None else zone + 1
+                    name = kind["name"] + (f" {zone} {part}" if apart else "")
+                    table = Table(number, place, zone, kind["own_zone"], name)
+                    self.tables.append(table)
+                    for near in range(zones) if zone is None else [zone]:
+                        self.serving[near, part].append(table)
+                if kind["own_zone"]:
+                    self.valves[zone] = Valve()
         self.fleet, self.health, self.proxies = {}, defaultdict(Health), {}
         self.withdrawn, self.shares, self.shared_at = set(), {}, 0
-        self.natural = {place: 1 / len(self.order) for place in self.order}
+        self.natural, self.joining = {place: 1 / len(self.order) for place in self.order}, []
         self.levels = {place: 1.0 for place in self.order}
         self.waiting, self.waited_at, self.channel, self.reached = 0.0, host.now(), 1.0, set()
         self.marks, self.mark_number, self.pushed_at = {}, 0, host.now() - 10 * SECOND
@@ -169,15 +182,32 @@
     def proxy_joined(self, proxy, zone, rate, fresh):
         demand = self.proxies[proxy].demand if proxy in self.proxies else {}
         self.proxies[proxy] = Proxy(zone, rate if 0 < rate < 1e9 else 1.0, demand)
-        if self.tables and not any(table.lines for table in self.tables):
-            self._act()
-        # At once, whatever the channel's account says: until it is bound it follows old tables.
-        self.reached = set()
-        for table in self.tables:
-            if table.zone in (None, zone):
+        if not self.joining:
+            self.host.wake(1, 2)        # with all that join at this moment: draws go by their demand
+        self.joining.append(proxy)
+
+    def _bind(self):
+        """Puts proxies on their tables, at once but for what the channel's queue can't hold: until then they
+        follow old tables, so those with the most traffic go first."""
+        limit, rest = self.charter["waiting_most"] * QUEUE_PART, []
+        self._drain_account()
+        for proxy in sorted(set(self.joining), key=lambda p: (-self.proxies[p].rate, p)):
+            tables = self._tables_of(proxy)
+            lines = self.charter["head_lines"] + sum(
+                2 + len(table.lines) + len(self.withdrawn & table.lines.keys()) for table in tables)
+            if not self.proxies[proxy].joined:
+                continue
+            if rest or self.waiting and self.waiting + lines > limit:
+                rest.append(proxy)
+                continue
+            for table in tables:
                 table.users.add(proxy)
                 self.host.bind(proxy, table.number, [table.place])
-                self._charge([proxy], 2 + len(table.lines.keys() | (self.withdrawn & table.lines.keys())))
+            self._charge([proxy], lines - (0 if proxy in self.reached else self.charter["head_lines"]))
+        self.joining = rest
+
+    def _tables_of(self, proxy):
+        return self.serving[self.proxies[proxy].zone, proxy % self.parts]
 
     def proxy_left(self, proxy):
         if proxy in self.proxies:
@@ -220,6 +250,8 @@
             self._ask()
         if token == 0:
             self.host.wake(TURN, 0)
+        if token == 2 and not self.joining:
+            return
         due = self.reviewed_at + self.charter["report_period"] // 2
         if self.tables and self.heard_at > self.reviewed_at and now >= due:
             self._review()
@@ -239,8 +271,9 @@
         rates = self._rates()
         self._resize(rates)
         self._shards(rates)
-        self._weigh(self._rates(peak={k for k in self.order if self.classes[k]["own_zone"]}))
+        self._weigh(self._rates(peak=True))
         self._push()
+        self._bind()
 
     # Demand.
 
@@ -248,32 +281,35 @@
         """How long after an order reports can reflect it: its way out, and one whole period after."""
         return self.charter["way_longest"] + 2 * self.charter["report_period"]
 
-    def _rates(self, peak=()):
-        """Exchanges a second by class and zone, of proxies lately out of reach too; or at their `peak`."""
-        now, rates = self.host.now(), defaultdict(float)
-        for proxy in self.proxies.values():
+    def _rates(self, peak=False):
+        """Exchanges a second by table, of proxies lately out of reach too; bound classes' at their `peak`."""
+        now, rates, rises = self.host.now(), defaultdict(float), defaultdict(float)
+        for number, proxy in self.proxies.items():
             if not proxy.joined and now - proxy.left_at > 20 * SECOND:
                 continue
-            for place in self.order:
-                samples = proxy.demand.get(place)
+            for table in self._tables_of(number):
+                samples = proxy.demand.get(table.place)
                 if samples:
-                    rate = max(many * SECOND / span for many, span in samples) if place in peak else (
-                        sum(many for many, _ in samples) * SECOND / sum(span for _, span in samples))
+                    rate = sum(many for many, _ in samples) * SECOND / sum(span for _, span in samples)
+                    if peak and table.bound:
+                        top = max(many * SECOND / span for many, span in samples)
+                        rises[table.number] += (top - rate) ** 2        # many proxies' peaks seldom meet
                 else:
                     rate = 0.0 if proxy.demand else proxy.rate / len(self.order)
-                rates[place, proxy.zone] += rate
-        return rates
+                rates[table.number] += rate
+        for number, squares in rises.items():
+            rates[number] += squares ** 0.5
+        return rates if rates else {table.number: 1.0 for table in self.tables}
 
     def _rate(self, table, rates):
         """What is let in of a table's exchanges, a second."""
-        return self._level(table) * sum(rate for (place, zone), rate in rates.items()
-                                        if place == table.place and table.zone in (None, zone))
+        return self._level(table) * rates.get(table.number, 0.0)
 
     def _resize(self, rates):
         now, total = self.host.now(), sum(rates.values())
         if self.valves[None].open == 1 and total:       # else repeats of refused ones would count as demand
-            self.natural = {place: sum(rate for (k, _), rate in rates.items() if k == place) / total
-                            for place in self.order}
+            self.natural = {place: sum(rates.get(table.number, 0.0) for table in self.tables
+                                       if table.place == place) / total for place in self.order}
         moved = max(abs(self.natural[place] - self.shares.get(place, 0)) for place in self.order)
         if not self.shares or moved > RESIZE_BY and now - self.shared_at > RESIZE_EVERY:
             self.shares, self.shared_at = self.natural, now
@@ -281,49 +317,64 @@
     # Shards.
 
     def _pool(self, table):
-        ready = self._ready(table.zone)
+        ready = self._ready(table.zone if table.bound else None)
         fit = {index: server for index, server in ready.items() if not self.health[index].out and (
             self._full() or table.place not in self.health[index].barred)}
         # With most barred, doubtful servers beat too few: those left would be next.
         return fit if 2 * weigh(fit.values()) >= weigh(ready.values()) else ready
 
-    def _planned(self, rates, besides, bound=False):
-        """Load planned for each server by other shards, by listed weight; or by zone-bound ones alone."""
-        loads = defaultdict(float)
-        for table in self.tables:
-            if table is besides or bound and table.zone is None:
-                continue
-            members = [self.fleet[m] for m in table.members if m in self.fleet]
-            weight = weigh(members)
-            for server in members:
-                loads[server.index] += self._rate(table, rates) * server.weight / weight
-        return loads
+    def _plan(self, table, rates, loads, sign=1):
+        """Adds a shard's planned load on each of its servers, by listed weight, or takes it off again."""
+        members = [self.fleet[m] for m in table.members if m in self.fleet]
+        rate = sign * self._rate(table, rates) / max(1e-9, weigh(members))
+        for server in members:
+            loads[server.index] += rate * server.weight
 
-    def _spared(self, table, pool, rates, mean):
+    def _spared(self, table, pool, loads, mean):
         """The pool without servers that zone-bound shards alone load above the fleet's mean: a class that may
         go anywhere leaves them. Other shards do not count: classes would part the fleet between them."""
-        loads = self._planned(rates, table, bound=True) if table.zone is None else defaultdict(float)
-        bound = {index: (HOT if index in table.members else COOL) * mean * server.weight
-                 for index, server in pool.items()}
-        spared = {index: server for index, server in pool.items() if loads[index] <= bound[index]}
+        most = {index: (HOT if index in table.members else COOL) * mean * server.weight
+                for index, server in pool.items()}
+        spared = {index: server for index, server in pool.items() if loads[index] <= most[index]}
         enough = len(spared) >= LEAST_SERVERS and 2 * weigh(spared.values()) >= weigh(pool.values())
         return spared if enough else pool
 
+    def _sides(self, table, pool, rates, mean):
+        """What a shard holds of servers near its proxies, and of others: these only for the part of a zone's
+        exchanges that is above what its servers would do at the fleet's mean."""
+        near = {index: server for index, server in pool.items() if table.zone in (None, server.zone)}
+        need, part = self._need(table, near if table.bound else pool, rates), 1.0
+        if not (table.bound or table.zone is None):
+            asked = {bound: sum(self._rate(other, rates) for other in self.tables if other.zone == table.zone
+                                and other.bound == bound) for bound in (False, True)}
+            part = (mean * weigh(near.values()) - asked[True]) / max(1e-9, asked[False])
+            part = round(max(0.0, min(1.0, part)) * 8) / 8      # in steps, for demand is never steady
+        far = {index: server for index, server in pool.items() if index not in near}
+        return (near, need * part), (far, need * (1 - part))
+
     def _pick(self, left, loads, chance):
         two = (left[chance.below(len(left))] for _ in range(2))
         return min(two, key=lambda server: (loads[server.index] / server.weight, server.raw))
 
-    def _draw(self, table, pool, need, loads):
-        """A shard drawn at random, each server the less loaded of two, capped in its overlap with others."""
-        best, ranked = None, sorted(pool.values(), key=lambda server: server.raw)
-        chance = Chance(seed_from(table.name, [server.raw for server in ranked]))
-        for _ in range(DRAWS):
-            left, shard, weight = list(ranked), [], 0.0
-            while left and (weight < need or len(shard) < LEAST_SERVERS):
-                server = self._pick(left, loads, chance)
+    def _fill(self, table, shard, sides, loads, chance, slack):
+        """Adds servers drawn at random, each the less loaded of two, until each side holds what it should."""
+        for side, need in sides:
+            left = sorted((side[index] for index in side.keys() - set(shard)), key=lambda s: s.raw)
+            weight = weigh(side[m] for m in shard if m in side)
+            half = slack * weigh(side.values()) / max(1, len(side))
+            while left and (weight < need - half or len(shard) < LEAST_SERVERS):
+                seed = seed_from(table.name, [server.raw for server in left])
+                server = self._pick(left, loads, chance or Chance(seed))
                 left.remove(server)
                 shard.append(server.index)
                 weight += server.weight
+        return shard
+
+    def _draw(self, table, pool, sides, loads):
+        """A shard drawn at random, capped in its overlap with others."""
+        best, chance = None, Chance(seed_from(table.name, sorted(server.raw for server in pool.values())))
+        for _ in range(DRAWS):
+            shard = self._fill(table, [], sides, loads, chance, 0)
             overlap = max((len(set(shard) & set(other.members)) / len(shard) for other in self.tables
                            if other is not table and other.members), default=0)
             peak = max(loads[index] / pool[index].weight for index in shard)
@@ -338,46 +389,63 @@
         return valve.open < 1 or len(valve.seen) > 2 and min(valve.seen) > FULL * valve.calmest
 
     def _need(self, table, pool, rates):
-        """The listed weight that a shard wants; of a zone's table, by the zone's part of the demand."""
-        here, part = weigh(pool.values()), self.shares[table.place]
-        if table.zone is not None and here:
-            wide = sum(rate for (place, _), rate in rates.items() if place == table.place)
-            part *= rates[table.place, table.zone] / max(wide, 1e-9) * weigh(self._ready().values()) / here
-        return here * (min(1.0, SHARE_TARGET * part) if not self._full() else 1.0)
+        """The listed weight that a shard wants: by the class's share, and its proxies' part of the class."""
+        here = weigh(pool.values())
+        wide = sum(rates.get(other.number, 0.0) for other in self.tables if other.place == table.place)
+        share = self.shares[table.place] * rates.get(table.number, 0.0) / max(1e-9, wide)
+        whole = weigh(self._ready().values()) if table.zone is not None else here
+        if self._full() and self.parts == 1:
+            return here
+        return min(here, SHARE_TARGET * share * whole * self._own_part())
+
+    def _own_part(self):
+        """What part of all exchanges comes to this planner, where proxies join by zone; elsewhere planners
+        that draw alike for a part of each group spread them as one planner would."""
+        known = sum(proxy.joined or self.host.now() - proxy.left_at < 20 * SECOND
+                    for proxy in self.proxies.values())
+        near = self.charter["dealt_by_zone"] and self.charter["instances"] > 1 and known
+        return min(1.0, known / max(1, self.charter["proxies"])) if near else 1.0
 
     def _shards(self, rates):
         now, whole = self.host.now(), weigh(self._ready().values())
+        loads, bound = defaultdict(float), defaultdict(float)
+        for table in self.tables:
+            self._plan(table, rates, loads)
+            if table.bound:
+                self._plan(table, rates, bound)
+        mean = sum(self._rate(table, rates) for table in self.tables) / max(1e-9, whole)
         for table in self.tables:
-            pool, loads = self._pool(table), self._planned(rates, table)
+            pool = self._pool(table)
             if not pool:
                 table.members = []
                 continue
-            mean = sum(self._rate(other, rates) for other in self.tables) / whole
-            pool = self._spared(table, pool, rates, mean)
-            need = self._need(table, pool, rates)
+            self._plan(table, rates, loads, -1)
+            if table.zone is None:
+                pool = self._spared(table, pool, bound, mean)
+            sides = self._sides(table, pool, rates, mean / self._own_part())
             if not table.drawn:
-                table.members, table.drawn = self._draw(table, pool, need, loads), True
-                continue
+                table.members, table.drawn = self._draw(table, pool, sides, loads), True
             table.members = [member for member in table.members if member in pool]
-            weight = weigh(pool[member] for member in table.members)
-            half = weigh(pool.values()) / len(pool) / 2
-            left = sorted((pool[index] for index in pool.keys() - set(table.members)), key=lambda s: s.raw)
-            while left and (weight < need - half or len(table.members) < LEAST_SERVERS):
-                server = self._pick(left, loads, Chance(seed_from(table.name, [s.raw for s in left])))
-                left.remove(server)
-                table.members.append(server.index)
-                weight += server.weight
-            if len(table.members) > LEAST_SERVERS and now - table.resized_at > RESIZE_EVERY // 4:
-                hot = max(table.members, key=lambda m: (loads[m] / pool[m].weight, pool[m].raw))
-                if weight - pool[hot].weight > need + half and loads[hot]:
-                    table.members.remove(hot)
-                    table.resized_at = now
+            self._fill(table, table.members, sides, loads, None, 0.5)
+            for side, need in sides:
+                members = [m for m in table.members if m in side]
+                rested = now - table.resized_at > RESIZE_EVERY // 4
+                if members and len(table.members) > LEAST_SERVERS and rested:
+                    half = weigh(side.values()) / len(side) / 2 if need else 0
+                    hot = max(members, key=lambda m: (loads[m] / pool[m].weight, pool[m].raw))
+                    if weigh(side[m] for m in members) - pool[hot].weight > need + half - 1e-9 and (
+                            loads[hot] > 1e-6 or not need):
+                        table.members.remove(hot)
+                        table.resized_at = now
+            self._plan(table, rates, loads)
         covered = set().union(*(table.members for table in self.tables))
         for server in sorted(self._ready().values(), key=lambda server: server.raw):
-            open_to = [table for table in self.tables if server.index in self._pool(table)]
-            if server.index not in covered and open_to:
-                max(open_to, key=lambda table: self._rate(table, rates) / max(1e-9, weigh(
-                    self.fleet[m] for m in table.members))).members.append(server.index)
+            open_to = [] if server.index in covered else [
+                table for table in self.tables if server.index in self._pool(table)]
+            if open_to:
+                max(open_to, key=lambda table: (
+                    table.zone in (None, server.zone), self._rate(table, rates) / max(1e-9, weigh(
+                        self.fleet[m] for m in table.members)))).members.append(server.index)
 
     # Weights: as listed, but for the ramp and the guard over cold servers.
 
@@ -429,7 +497,7 @@
 
     def _level(self, table):
         """The part of a class that is let in, but for the guard over cold servers."""
-        return self.levels[table.place] * (self.valves[table.zone].open if table.zone is not None else 1.0)
+        return self.levels[table.place] * (self.valves[table.zone].open if table.bound else 1.0)
 
     def _review(self):
         agreed, ready = min(kind["agreed_time"] for kind in self.classes), self._ready()
@@ -546,7 +614,6 @@
         """Writes what has changed: what the rules need first, then the largest, as the channel allows."""
         now, most, span = self.host.now(), self.charter["messages_most"], self.charter["messages_span"]
         ready, joined = self._ready(), [number for number, proxy in self.proxies.items() if proxy.joined]
-        full = max((sum(now - at <= span for at in self.proxies[n].written) for n in joined), default=0)
         stale, changes = self._stale(ready), []
         for table in self.tables:
             for server in table.lines.keys() | table.want.keys():
@@ -560,15 +627,15 @@
                 changes.append((level >= (table.level or 0), -9e9, table.number, -1, level, table))
         pressing = bool(stale) or any(not change[0] for change in changes)
         gap = max(TURN, span * 2 // most if most else 0)
-        if not (stale or changes) or not pressing and now - self.pushed_at < gap or 0 < most <= full + 1:
+        if not (stale or changes) or not pressing and now - self.pushed_at < gap:
             return
         self._withdraw(stale, ready, joined)
-        self._drain_account()
         limit = self.charter["waiting_most"] * QUEUE_PART
         for ordinary, _, _, server, value, table in sorted(changes, key=lambda change: change[:4]):
             cost = len(table.users) + len(table.users - self.reached) * self.charter["head_lines"]
             room = min(limit, self.charter["lines_per_s"] * LINES_TURN) if ordinary else limit
-            if table.users and (self.waiting + cost > room or ordinary and 0 < most <= full + 4):
+            if table.users and (self.waiting + cost > room
+                                or not self._may_write(table.users, 4 if ordinary else 1)):
                 continue
             self._charge(sorted(table.users), 1)
             if server < 0:
@@ -593,10 +660,25 @@
 
     def _withdraw(self, stale, ready, joined):
         for server in sorted(stale):
+            if not self._may_write(joined, 1):
+                return
             self.host.withdraw(server, server not in ready)
             self.health[server].until = self.host.now()
-            self._charge(joined, 1)
-        self.withdrawn ^= stale
+            # Only those that hold a table with it are written to: those not yet bound may.
+            holders = set(self.joining).union(*(t.users for t in self.tables if server in t.lines))
+            self._charge(sorted(holders.intersection(joined)), 1)
+            self.withdrawn ^= {server}
+
+    def _may_write(self, proxies, spare):
+        """Whether so many messages more, beside this one, would stay under what each may be written."""
+        most, since = self.charter["messages_most"], self.host.now() - self.charter["messages_span"]
+        for proxy in proxies if most else ():
+            written = self.proxies[proxy].written
+            while written and written[0] < since:
+                written.popleft()
+            if len(written) + spare >= most and proxy not in self.reached:
+                return False
+        return True
 
     def _stated(self, table, level):
         if self.charter["levels"] != "rate":
--- a/indigodeck/simhost/codec.py
+++ b/indigodeck/simhost/codec.py
@@ -53,6 +53,7 @@
     ("own_number", "", "me", 1, 0),
     ("own_zone", "", "zone", 1, 0),
     ("lines_per_s", "domain", "linesPerS", 1, REQUIRED),
+    ("proxies", "domain", "proxies", 1, 0),
     ("waiting_most", "domain", "mostWaiting", 1, REQUIRED),
     ("head_lines", "domain", "fixedCost", 1, REQUIRED),
     ("bare_time", "domain", "blackholeMs", TIME, REQUIRED),
@@ -113,6 +114,7 @@
     charter["zones"] = len(given.get("zones") or [""])
     charter["list_asked"] = given.get("membershipMode") == "ask"
     charter["probes"] = limits.get("probes") is True
+    charter["dealt_by_zone"] = domain.get("localFirst") is True
     charter["exclusive"] = domain.get("exclusive") is True
     charter["levels"] = LEVELS.get(domain.get("admission"), "share")
     charter["load_columns"] = [LOADS.get(name, name) for name in given["loadInfo"].get("columns") or []]
