--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -37,6 +37,15 @@
         return (self.state >> 32) * bound >> 32
 
 
+def quantile(part, samples):
+    """Of values that each come with a weight; None if there are none."""
+    left = part * sum(weight for _, weight in samples)
+    for value, weight in sorted(samples):
+        left -= weight
+        if left <= 0:
+            return value
+
+
 def weigh(servers):
     return sum(server.weight for server in servers)
 
@@ -83,19 +92,23 @@
         self.turned_at, self.cut, self.calmest = 0, False, 9.0
         self.shown, self.seen = deque(maxlen=32), deque(maxlen=3)
 
-    def turn(self, now, echo, busy, failing, tried, done, weight, may_cut):
+    def turn(self, now, echo, calmest, busy, failing, tried, done, weight, may_cut):
         # In a jam the fleet completes less than it can, for work done for clients that have given up counts
         # for nothing; levels cut to that would never find the way out. So the best it has shown, but for two.
         self.shown.append(done / weight)
         able = sorted(self.shown)[-min(3, len(self.shown))] * weight
         before, settled = self.open, now >= self.turned_at + echo
-        if self.open == 1 and (busy + 4 * failing < CALM or not self.asked):
-            self.asked = tried          # later, repeats would count as demand
-        # One period ahead: what is ordered now takes effect only then.
         self.seen.append(busy)
         self.calmest = min(self.calmest, max(self.seen))
-        busy += min(0.15, max(0.0, busy - self.seen[0]))
-        if busy + 4 * min(failing, 0.1) > BUSY and may_cut and (settled or failing > self.failed + 0.15):
+        # Failures tell of a jam only as far as answers are slower than they can be: clients that leave early
+        # and servers that fail quickly leave the answer times as they are.
+        strain = busy + 4 * min(failing, 0.1) * min(1.0, max(0.0, busy / min(calmest, self.calmest) - 1))
+        if self.open == 1 and (strain < CALM or not self.asked):
+            self.asked = tried          # later, repeats would count as demand
+        # One period ahead: what is ordered now takes effect only then.
+        strain += min(0.15, max(0.0, busy - self.seen[0]))
+        slower = busy > 1.25 * self.calmest or failing > 0.02 or busy > 0.6
+        if strain > BUSY and slower and may_cut and (settled or failing > self.failed + 0.15):
             # Below it by the part that fails, to let the queues drain before clients' repeats fill them.
             self.target, self.failed, self.cut = (ABLE_PART - min(0.5, failing)) * able, failing, True
             part = max(self.open * self.target / tried, 0.6 * self.target / self.asked)
@@ -138,6 +151,7 @@
         self.levels = {place: 1.0 for place in self.order}
         self.waiting, self.waited_at, self.channel, self.reached = 0.0, host.now(), 1.0, set()
         self.marks, self.mark_number, self.pushed_at = {}, 0, host.now() - 10 * SECOND
+        self.spans = deque(maxlen=64)
         self.heard_at, self.reviewed_at, self.asked_at, self.pause = 0, 0, 0, SECOND
         self.subscribed, self.slices = not charter["list_asked"], {}
         if not self.subscribed:
@@ -220,6 +234,7 @@
     def heard(self, zone, server, tries, failed, took, span, load):
         self.heard_at = self.host.now()
         if tries and span:
+            self.spans.append(span)
             self.health[server].reports.setdefault(zone, deque(maxlen=4)).append(
                 (self.heard_at, tries, min(failed, tries), took, span))
 
@@ -268,9 +283,11 @@
         self.reached = set()
         if self.charter["slices"]:
             return self._settle_slices()
-        rates = self._rates()
-        self._resize(rates)
-        self._shards(rates)
+        if not self.proxies:
+            return      # draws go by planned load: without any, busy servers would be met by chance
+        expected = self._expected(self._rates())
+        self._resize(expected)
+        self._shards(expected)
         self._weigh(self._rates(peak=True))
         self._push()
         self._bind()
@@ -279,7 +296,11 @@
 
     def _echo(self):
         """How long after an order reports can reflect it: its way out, and one whole period after."""
-        return self.charter["way_longest"] + 2 * self.charter["report_period"]
+        return self.charter["way_longest"] + self.charter["report_period"] + self._cycle()
+
+    def _cycle(self):
+        """What reports cover: where there are more than are let in a second, several periods each."""
+        return max(self.charter["report_period"], round(median(self.spans)) if self.spans else 0)
 
     def _rates(self, peak=False):
         """Exchanges a second by table, of proxies lately out of reach too; bound classes' at their `peak`."""
@@ -299,7 +320,23 @@
                 rates[table.number] += rate
         for number, squares in rises.items():
             rates[number] += squares ** 0.5
-        return rates if rates else {table.number: 1.0 for table in self.tables}
+        return rates
+
+    def _expected(self, rates):
+        """The same, with what proxies bring that have not joined yet, or joined another planner."""
+        known = defaultdict(int)
+        for number, proxy in self.proxies.items():
+            known[proxy.zone, number % self.parts] += 1
+        seats = self.charter["proxies"] / len(self.serving)
+        missing = {seat: max(0.0, seats - known[seat]) for seat in self.serving}
+        scale = max(0, self.charter["proxies"] - len(self.proxies)) / max(1e-9, sum(missing.values()))
+        usual = defaultdict(float)
+        for table in self.tables:
+            usual[table.place] += rates[table.number] / len(self.proxies)
+        for seat, serving in self.serving.items():
+            for table in serving:
+                rates[table.number] += usual[table.place] * missing[seat] * scale
+        return rates
 
     def _rate(self, table, rates):
         """What is let in of a table's exchanges, a second."""
@@ -339,10 +376,14 @@
         enough = len(spared) >= LEAST_SERVERS and 2 * weigh(spared.values()) >= weigh(pool.values())
         return spared if enough else pool
 
+    @staticmethod
+    def _near(table, pool):
+        return {index: server for index, server in pool.items() if table.zone in (None, server.zone)}
+
     def _sides(self, table, pool, rates, mean):
         """What a shard holds of servers near its proxies, and of others: these only for the part of a zone's
         exchanges that is above what its servers would do at the fleet's mean."""
-        near = {index: server for index, server in pool.items() if table.zone in (None, server.zone)}
+        near = self._near(table, pool)
         need, part = self._need(table, near if table.bound else pool, rates), 1.0
         if not (table.bound or table.zone is None):
             asked = {bound: sum(self._rate(other, rates) for other in self.tables if other.zone == table.zone
@@ -396,15 +437,7 @@
         whole = weigh(self._ready().values()) if table.zone is not None else here
         if self._full() and self.parts == 1:
             return here
-        return min(here, SHARE_TARGET * share * whole * self._own_part())
-
-    def _own_part(self):
-        """What part of all exchanges comes to this planner, where proxies join by zone; elsewhere planners
-        that draw alike for a part of each group spread them as one planner would."""
-        known = sum(proxy.joined or self.host.now() - proxy.left_at < 20 * SECOND
-                    for proxy in self.proxies.values())
-        near = self.charter["dealt_by_zone"] and self.charter["instances"] > 1 and known
-        return min(1.0, known / max(1, self.charter["proxies"])) if near else 1.0
+        return min(here, SHARE_TARGET * share * whole)
 
     def _shards(self, rates):
         now, whole = self.host.now(), weigh(self._ready().values())
@@ -422,7 +455,7 @@
             self._plan(table, rates, loads, -1)
             if table.zone is None:
                 pool = self._spared(table, pool, bound, mean)
-            sides = self._sides(table, pool, rates, mean / self._own_part())
+            sides = self._sides(table, pool, rates, mean)
             if not table.drawn:
                 table.members, table.drawn = self._draw(table, pool, sides, loads), True
             table.members = [member for member in table.members if member in pool]
@@ -501,19 +534,23 @@
 
     def _review(self):
         agreed, ready = min(kind["agreed_time"] for kind in self.classes), self._ready()
-        self.reviewed_at, since = self.host.now(), self.host.now() - self.charter["report_period"] * 5 // 4
-        recent, times, fails = {}, defaultdict(list), {}
+        self.reviewed_at, since = self.host.now(), self.host.now() - self._cycle() * 5 // 4
+        # Its kind: the same machine, heard of by proxies of one zone, for the same classes: work differs.
+        recent, times, fails, kinds = {}, defaultdict(list), {}, defaultdict(set)
+        for table in self.tables:
+            for index in table.lines:
+                kinds[index].add(table.place)
         for index, server in ready.items():
             recent[index] = [(zone, report) for zone, reports in self.health[index].reports.items()
                              for report in reports if report[0] > max(since, self.health[index].judge_from)]
             for zone, (_, tries, failed, took, _) in recent[index]:
                 if tries > failed and took:
-                    times[zone, server.kind].append((index, took))
+                    times[zone, server.kind, frozenset(kinds[index])].append((index, took, tries - failed))
             tries, failed = (sum(report[k] for _, report in recent[index]) for k in (1, 2))
             if tries >= ENOUGH:
                 fails[index] = failed / tries if failed > ENOUGH // 2 else 0.0
-        everything = [pair for pairs in times.values() for pair in pairs]
-        busy = median(took for _, took in everything) / agreed if everything else 0.0
+        everything = [sample for samples in times.values() for sample in samples]
+        busy = (quantile(0.5, [sample[1:] for sample in everything]) or 0.0) / agreed
         for zone, valve in self.valves.items():
             self._turn_valve(zone, valve, self._ready(zone), everything, fails, agreed, busy)
         failing = median(fails.values()) if fails else 0.0
@@ -524,9 +561,10 @@
             good = sum(report[1] - report[2] for _, report in reports)
             ratio = own = 0.0
             for zone, (_, tries, failed, took, _) in reports:
-                others = [t for other, t in times[zone, ready[index].kind] if other != index]
+                others = [sample[1:] for sample in times[zone, ready[index].kind, frozenset(kinds[index])]
+                          if sample[0] != index]
                 if tries > failed and took and len(others) >= 2:
-                    ratio += (tries - failed) / good * took / median(others)
+                    ratio += (tries - failed) / good * took / quantile(0.5, others)
                     own += (tries - failed) / good * took
             # Against medians: where most servers are bad the cause is common, and moving work would only
             # spread it. Failures with slow answers mean too much work: the server is slow. With quick
@@ -548,8 +586,10 @@
         if cause == "slow":
             # It still does work that the others would have to take: it leaves one shard, for a server that
             # is not in it, and none while all are busy.
-            left = [table.place for table in self.tables if table.place in left and index in table.members
-                    and self._pool(table).keys() - set(table.members)][:0 if busy or len(left) < 2 else 1]
+            most = 0 if busy or len(left) < 2 else 1
+            left = [place for place in left if any(
+                index in table.members and self._near(table, self._pool(table)).keys() - set(table.members)
+                for table in self.tables if table.place == place)][:most]
         if health.strikes < (1 if cause == "failing" or health.trial else 2) or not left:
             return
         out = weigh(server for i, server in ready.items() if self.health[i].barred or i == index)
@@ -576,16 +616,17 @@
                     tried += tries * SECOND / span
                     done += (tries - failed) * SECOND / span
         weight = sum(server.weight * self._ramp(server) for server in ready.values())
-        took = [took for index, took in everything if index in ready]
+        took = [sample[1:] for sample in everything if sample[0] in ready]
         failing = [part for index, part in fails.items() if index in ready]
         if not (weight and tried and failing):
             return
         # Two of five slow answers tell a flood from a few bad servers. No answer at all is the deepest jam.
-        busy = sorted(took)[int(len(took) * 0.6)] / agreed if took else 2.0
+        busy = quantile(0.6, took) / agreed if took else 2.0
         # Where the fleet is jammed or its valve is turned, that one decides, which knows whose credit is
         # least, unless this zone is far worse off than the rest.
         may_cut = zone is None or self.valves[None].open == 1 or fleet_busy < BUSY and busy > 1.5 * fleet_busy
-        if valve.turn(now, self._echo(), busy, median(failing), tried, done, weight, may_cut):
+        calmest = min(other.calmest for other in self.valves.values())
+        if valve.turn(now, self._echo(), calmest, busy, median(failing), tried, done, weight, may_cut):
             refuse = 1 - self.valves[None].open
             for place in sorted(self.order, key=lambda k: (self.classes[k]["credit"], k)):
                 # What earns the least credit is refused first, but never all of it.
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -82,6 +82,7 @@
         self.assigner.listed(CACHED, servers)
         for proxy in range(proxies):
             self.assigner.proxy_joined(proxy, proxy % zones, rate, True)
+        self.run(1 / SECOND)
 
     def change(self, *servers):
         self.assigner.listed(CHANGES, list(servers))
