Servers listed as gone stay while they answer where gone alone does not bind; evener draws

Half of a fleet leaving for a wrong list jammed the rest within 5 s. Where the start says that gone alone does not bind, a server that was listed ready and not draining stays in its tables while probes answer, asked once a second (without probes: while it completes). A process that died is taken out by the first probe. Elsewhere the rule comes first and it leaves at once. Groups go by a seeded hash of the proxy's number, not by its remainder, which may go with its zone.

--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -13,7 +13,7 @@
 SECOND = 1_000_000
 TURN = SECOND // 4          # between two looks at reports, shards and the channel
 # Shards (the design's starting values, and what measuring has made of them).
-SHARE_TARGET, LEAST_SERVERS, OVERLAP_MOST, DRAWS = 2.0, 4, 0.5, 5
+SHARE_TARGET, LEAST_SERVERS, OVERLAP_MOST, DRAWS, PICKS = 2.0, 4, 0.5, 5, 8
 ZONE_PROXIES, GROUP_PROXIES = 10, 25   # of a zone, from where classes are parted by zone, and into groups
 RESIZE_EVERY, RESIZE_BY = 10 * SECOND, 0.08
 HOT, COOL = 1.15, 0.95      # planned load by other shards, over the fleet's mean, that keeps a server out
@@ -22,6 +22,7 @@
 SLOW, FAILING, DEAD, ENOUGH = 2.2, 0.25, 0.85, 8
 OUT_SLOW, OUT_FAILED = 0.2, 0.5      # share of listed weight that may be out for either cause
 SPELL, SPELL_MOST = 8 * SECOND, 40 * SECOND
+DOUBT = SECOND              # between two looks at a server that is listed as gone but may run
 BUSY, CALM, ABLE_PART, FULL = 0.5, 0.4, 0.9, 1.2
 LINES_TURN, QUEUE_PART = 0.25, 0.45  # seconds of the channel an ordinary push may take; part of its limit
 
@@ -145,7 +146,7 @@
                         self.serving[near, part].append(table)
                 if kind["own_zone"]:
                     self.valves[zone] = Valve()
-        self.fleet, self.health, self.proxies = {}, defaultdict(Health), {}
+        self.fleet, self.health, self.proxies, self.doubted = {}, defaultdict(Health), {}, {}
         self.withdrawn, self.shares, self.shared_at = set(), {}, 0
         self.natural, self.joining = {place: 1 / len(self.order) for place in self.order}, []
         self.levels = {place: 1.0 for place in self.order}
@@ -174,12 +175,13 @@
         if kind != CACHED:
             self.subscribed, self.pause = True, SECOND
         if kind != CHANGES:
-            for index in self.fleet.keys() - {server.index for server in servers}:
-                del self.fleet[index]
+            for index in sorted(self.fleet.keys() - {server.index for server in servers}):
+                self._gone(index)
         for server in servers:
             if server.state not in (READY, DRAINING):
-                self.fleet.pop(server.index, None)
+                self._gone(server.index)
                 continue
+            self.doubted.pop(server.index, None)
             before = self.fleet.get(server.index)
             self.fleet[server.index] = server if 0 < server.weight < 1e9 else server._replace(weight=1.0)
             if before is None or before.started != server.started:
@@ -187,6 +189,29 @@
                 self.health[server.index] = Health(0 if kind == CACHED else self.host.now() + self._echo())
         self._act()
 
+    def _gone(self, index):
+        """Out at once, unless this deployment's list may be wrong in that: then it stays while it answers."""
+        if self.charter["gone_binds"] or index not in self.fleet or self.fleet[index].state != READY:
+            self.fleet.pop(index, None)
+            self.doubted.pop(index, None)
+        else:
+            self.doubted.setdefault(index, self.host.now())
+
+    def _ask_doubted(self):
+        now = self.host.now()
+        for index, due in list(self.doubted.items()):
+            if now >= due:
+                self.doubted[index] = now + DOUBT
+                if self.charter["probes"]:
+                    self.host.probe(index)
+                elif not any(at > now - DOUBT - self._cycle() and failed < tries for reports in self.health[
+                        index].reports.values() for at, tries, failed, _, _ in reports):
+                    self._drop(index)
+
+    def _drop(self, index):
+        self.fleet.pop(index, None)
+        del self.doubted[index]
+
     def _ready(self, zone=None):
         return {index: server for index, server in self.fleet.items()
                 if server.state == READY and zone in (None, server.zone)}
@@ -221,7 +246,11 @@
         self.joining = rest
 
     def _tables_of(self, proxy):
-        return self.serving[self.proxies[proxy].zone, proxy % self.parts]
+        return self.serving[self._seat(proxy)]
+
+    def _seat(self, proxy):
+        """Its zone and group: the same at every planner and after every start."""
+        return self.proxies[proxy].zone, Chance(proxy).below(self.parts)
 
     def proxy_left(self, proxy):
         if proxy in self.proxies:
@@ -253,6 +282,9 @@
         health = self.health[server]
         health.probing = False
         health.until = self.host.now() + SPELL // 2
+        if server in self.doubted and outcome not in ("ok", "full"):
+            self._drop(server)
+            self._act()
         if health.barred and outcome == "ok":
             self._try_again(health)
 
@@ -267,6 +299,7 @@
             self.host.wake(TURN, 0)
         if token == 2 and not self.joining:
             return
+        self._ask_doubted()
         due = self.reviewed_at + self.charter["report_period"] // 2
         if self.tables and self.heard_at > self.reviewed_at and now >= due:
             self._review()
@@ -325,8 +358,8 @@
     def _expected(self, rates):
         """The same, with what proxies bring that have not joined yet, or joined another planner."""
         known = defaultdict(int)
-        for number, proxy in self.proxies.items():
-            known[proxy.zone, number % self.parts] += 1
+        for proxy in self.proxies:
+            known[self._seat(proxy)] += 1
         seats = self.charter["proxies"] / len(self.serving)
         missing = {seat: max(0.0, seats - known[seat]) for seat in self.serving}
         scale = max(0, self.charter["proxies"] - len(self.proxies)) / max(1e-9, sum(missing.values()))
@@ -394,8 +427,8 @@
         return (near, need * part), (far, need * (1 - part))
 
     def _pick(self, left, loads, chance):
-        two = (left[chance.below(len(left))] for _ in range(2))
-        return min(two, key=lambda server: (loads[server.index] / server.weight, server.raw))
+        some = (left[chance.below(len(left))] for _ in range(PICKS))
+        return min(some, key=lambda server: (loads[server.index] / server.weight, server.raw))
 
     def _fill(self, table, shard, sides, loads, chance, slack):
         """Adds servers drawn at random, each the less loaded of two, until each side holds what it should."""
@@ -415,7 +448,7 @@
         """A shard drawn at random, capped in its overlap with others."""
         best, chance = None, Chance(seed_from(table.name, sorted(server.raw for server in pool.values())))
         for _ in range(DRAWS):
-            shard = self._fill(table, [], sides, loads, chance, 0)
+            shard = self._fill(table, [], sides, loads, chance, 0.5)
             overlap = max((len(set(shard) & set(other.members)) / len(shard) for other in self.tables
                            if other is not table and other.members), default=0)
             peak = max(loads[index] / pool[index].weight for index in shard)
--- a/indigodeck/simhost/codec.py
+++ b/indigodeck/simhost/codec.py
@@ -114,7 +114,7 @@
     charter["zones"] = len(given.get("zones") or [""])
     charter["list_asked"] = given.get("membershipMode") == "ask"
     charter["probes"] = limits.get("probes") is True
-    charter["dealt_by_zone"] = domain.get("localFirst") is True
+    charter["gone_binds"] = given["rules"].get("drainBindsAlone") is not True
     charter["exclusive"] = domain.get("exclusive") is True
     charter["levels"] = LEVELS.get(domain.get("admission"), "share")
     charter["load_columns"] = [LOADS.get(name, name) for name in given["loadInfo"].get("columns") or []]
