--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -14,7 +14,7 @@
 TURN = SECOND // 4          # between two looks at reports, shards and the channel
 # Shards (the design's starting values, and what measuring has made of them).
 SHARE_TARGET, LEAST_SERVERS, OVERLAP_MOST, DRAWS, PICKS = 2.0, 4, 0.5, 5, 8
-ZONE_PROXIES, GROUP_PROXIES = 10, 25   # of a zone, from where classes are parted by zone, and into groups
+GROUP = 10                  # proxies of a zone that share a table, where there are so many
 RESIZE_EVERY, RESIZE_BY = 10 * SECOND, 0.08
 HOT, COOL = 1.15, 0.95      # planned load by other shards, over the fleet's mean, that keeps a server out
 RAMP_FROM, RAMP_STEPS = 0.25, 3      # a newcomer's first weight; doublings spread over the cold time
@@ -77,7 +77,8 @@
 class Health:
     """What is known against a server: reports, strikes, the classes it is barred from and until when."""
 
-    def __init__(self, judge_from=0):
+    def __init__(self, started=0, judge_from=0):
+        self.started, self.falls = started, 0
         self.reports, self.strikes, self.barred, self.out = {}, 0, frozenset(), False
         self.until, self.spell, self.trial, self.judge_from, self.probing = 0, SPELL, 0, judge_from, False
 
@@ -131,8 +132,8 @@
         self.tables, self.valves, self.serving = [], {None: Valve()}, defaultdict(list)
         # One table of a shard for all proxies would be proxies times servers connections and lines: where
         # proxies are many, those of a zone form groups, each a class of its own to the shards.
-        apart = charter["proxies"] >= zones * ZONE_PROXIES
-        self.parts = max(1, charter["proxies"] // (zones * GROUP_PROXIES))
+        apart = charter["proxies"] >= zones * GROUP
+        self.parts = max(1, charter["proxies"] // (zones * GROUP))
         for place in [] if charter["slices"] else self.order:
             kind, per_zone = self.classes[place], apart or self.classes[place]["own_zone"]
             for zone in range(zones) if per_zone else [None]:
@@ -182,11 +183,16 @@
                 self._gone(server.index)
                 continue
             self.doubted.pop(server.index, None)
-            before = self.fleet.get(server.index)
             self.fleet[server.index] = server if 0 < server.weight < 1e9 else server._replace(weight=1.0)
+            before = self.health.get(server.index)
             if before is None or before.started != server.started:
-                # A new process: what was held against the old one says nothing of it.
-                self.health[server.index] = Health(0 if kind == CACHED else self.host.now() + self._echo())
+                # A new process: what was held against the old one says nothing of it, but that it fell.
+                health = Health(server.started, 0 if kind == CACHED else self.host.now() + self._echo())
+                self.health[server.index] = health
+                if before and 0 < before.started > server.started - 4 * self.charter["cold_time"]:
+                    health.falls = before.falls + 1
+                    health.spell = min(SPELL_MOST, SPELL << health.falls)
+                    self._bar(server.index, self.order, self._ready(), "falls again and again")
         self._act()
 
     def _gone(self, index):
@@ -625,15 +631,20 @@
                 for table in self.tables if table.place == place)][:most]
         if health.strikes < (1 if cause == "failing" or health.trial else 2) or not left:
             return
-        out = weigh(server for i, server in ready.items() if self.health[i].barred or i == index)
-        if out > weigh(ready.values()) * (OUT_FAILED if cause == "failing" else OUT_SLOW):
-            return
-        health.out = cause == "failing"
-        health.barred |= frozenset(left)
         again = min(SPELL_MOST, health.spell * 2) if health.trial else SPELL
         health.spell = again if cause == "failing" else SPELL_MOST
-        health.until, health.trial, health.strikes = now + health.spell, 0, 0
-        self.host.log(f"server {index} leaves classes {left}: {cause}")
+        self._bar(index, left, ready, cause)
+
+    def _bar(self, index, places, ready, cause):
+        health = self.health[index]
+        out = weigh(server for i, server in ready.items() if self.health[i].barred or i == index)
+        if out > weigh(ready.values()) * (OUT_SLOW if cause == "slow" else OUT_FAILED):
+            return False
+        health.barred |= frozenset(places)
+        health.out, health.until = cause != "slow", self.host.now() + health.spell
+        health.trial, health.strikes = 0, 0
+        self.host.log(f"server {index} leaves classes {places}: {cause}")
+        return True
 
     def _try_again(self, health):
         now = self.host.now()
