--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -394,8 +394,9 @@
 
     def _pool(self, table):
         ready = self._ready(table.zone if table.bound else None)
+        full = self._full()
         fit = {index: server for index, server in ready.items() if not self.health[index].out and (
-            self._full() or table.place not in self.health[index].barred)}
+            full or table.place not in self.health[index].barred)}
         # With most barred, doubtful servers beat too few: those left would be next.
         return fit if 2 * weigh(fit.values()) >= weigh(ready.values()) else ready
 
@@ -485,9 +486,12 @@
             self._plan(table, rates, loads)
             if table.bound:
                 self._plan(table, rates, bound)
-        mean = sum(self._rate(table, rates) for table in self.tables) / max(1e-9, whole)
+        mean, pools = sum(self._rate(table, rates) for table in self.tables) / max(1e-9, whole), {}
         for table in self.tables:
-            pool = self._pool(table)
+            same = table.place, table.bound and table.zone
+            if same not in pools:       # once for all groups of a class: most of the work on a large fleet
+                pools[same] = self._pool(table)
+            pool = pools[same]
             if not pool:
                 table.members = []
                 continue
@@ -513,7 +517,8 @@
         covered = set().union(*(table.members for table in self.tables))
         for server in sorted(self._ready().values(), key=lambda server: server.raw):
             open_to = [] if server.index in covered else [
-                table for table in self.tables if server.index in self._pool(table)]
+                table for table in self.tables
+                if server.index in pools[table.place, table.bound and table.zone]]
             if open_to:
                 max(open_to, key=lambda table: (
                     table.zone in (None, server.zone), self._rate(table, rates) / max(1e-9, weigh(
