--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -218,7 +218,7 @@
         rig.start(fleet())
         rig.run(8)
         rig.change(server(0, DRAINING))
-        rig.assigner.applied(0, rig.assigner.mark_number, took)
+        rig.assigner.applied(0, rig.assigner.channel.number, took)
         rig.printed.clear()
         rig.change(*[server(index, started=rig.clock) for index in range(12, 24)])
         rig.run(2)
