--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -176,6 +176,19 @@
         levels = [line for line in rig.printed if "level" in line and "level 1.00" not in line]
         self.assertTrue(levels)
 
+    def test_failures_with_quick_answers_close_no_valve(self):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(12, lambda rig: rig.report(failed=lambda index: 6 if rig.clock > 6 * SECOND else 0))
+        self.assertFalse([line for line in rig.printed if "open" in line])
+
+    def test_long_work_is_not_taken_for_a_flood(self):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(3, lambda rig: rig.report(lambda index: 380_000))
+        rig.run(8, lambda rig: rig.report(lambda index: 455_000))
+        self.assertFalse([line for line in rig.printed if "open 0" in line])
+
     def test_full_fleet_holds_every_class_on_every_server(self):
         rig = Rig()
         rig.start(fleet())
@@ -212,6 +225,76 @@
         self.assertEqual(used, {0})
 
 
+class Size(TraceCase):
+    """Many proxies and servers: groups by zone, joins as the channel takes them."""
+
+    def large(self, joined=270, **stated):
+        rig = Rig(charter(zones=3, proxies=270, lines_per_s=4500, waiting_most=6800, **stated))
+        rig.assigner.listed(CHANGES, [server(index, zone=index % 3) for index in range(90)])
+        for proxy in range(joined):
+            rig.assigner.proxy_joined(proxy, proxy % 3, 4.0, True)
+        rig.run(1 / SECOND)
+        return rig
+
+    def test_joins_of_many_wait_for_the_channel_and_all_are_bound(self):
+        rig = self.large()
+        self.assertLess(rig.assigner.channel.waiting, 6800 / 2)
+        rig.run(6)
+        binds = [line.split() for line in rig.printed if "bind" in line]
+        self.assertEqual(len(binds), 2 * 270)
+        self.assertLess(len({bind[6] for bind in binds}), 270 / 4)
+
+    def test_groups_are_served_in_their_zone_and_load_servers_evenly(self):
+        rig = self.large()
+        loads = [0.0] * 90
+        for table in rig.assigner.tables:
+            self.assertTrue(all(index % 3 == table.zone for index in table.members))
+            for index in table.members:
+                loads[index] += rig.assigner.proxies.rates(rig.clock)[table.number] / len(table.members)
+        self.assertLess(max(loads), 1.7 * sum(loads) / 90)
+
+    def test_first_to_join_does_not_stand_for_all(self):
+        rig = self.large(joined=1)
+        table = rig.assigner.proxies.tables_of(0)[0]
+        self.assertTrue(all(index % 3 == 0 for index in table.members))
+
+
+class Lists(TraceCase):
+    def test_servers_wrongly_listed_as_gone_stay_while_they_answer(self):
+        rig = Rig(charter(gone_binds=False, probes=True))
+        rig.start(fleet())
+        rig.run(1)
+        rig.printed.clear()
+        rig.change(server(3, GONE), server(4, GONE), server(5, DRAINING))
+        rig.change(server(5, GONE))
+        rig.run(0.3)
+        rig.assigner.probed(3, "ok", 0, None)
+        rig.assigner.probed(4, "unreachable", 0, None)
+        rig.run(1.5)
+        self.compare("wrong-list", rig)
+
+    def test_servers_listed_as_gone_stay_without_probes_while_they_complete(self):
+        rig = Rig(charter(gone_binds=False))
+        rig.start(fleet())
+        rig.run(3, lambda rig: rig.report())
+        rig.change(server(3, GONE), server(4, GONE))
+        rig.run(5, lambda rig: rig.report(failed=lambda index: 20 if index == 4 else 0))
+        self.assertTrue(rig.tables[0][3])
+        self.assertFalse(rig.tables[0][4])
+
+    def test_server_that_falls_again_stays_out(self):
+        rig = Rig()
+        rig.clock = 200 * SECOND
+        rig.start(fleet())
+        rig.printed.clear()
+        for _ in range(2):
+            rig.run(5)
+            rig.change(server(3, started=rig.clock))
+        rig.run(25)
+        rig.printed = [line for line in rig.printed if "leaves" in line or "table 0: server 3" in line]
+        self.compare("falls-again", rig)
+
+
 class Channel(TraceCase):
     def moments(self, took):
         rig = Rig(charter(lines_per_s=60, waiting_most=400))
