--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -15,7 +15,7 @@
 
 TURN = SECOND // 4          # between two looks at reports, shards and the channel
 # Shards (the design's starting values, and what measuring has made of them).
-SHARE_TARGET, LEAST_SERVERS, OVERLAP_MOST, DRAWS, PICKS = 2.0, 4, 0.5, 5, 8
+TARGET, TARGET_APART, LEAST_SERVERS, OVERLAP_MOST, DRAWS, PICKS = 3.0, 2.0, 4, 0.5, 5, 8
 GROUP = 10                  # proxies of a zone that share a table, where there are so many
 RESIZE_EVERY, RESIZE_BY = 10 * SECOND, 0.08
 HOT, COOL = 1.15, 0.95      # planned load by other shards, over the fleet's mean, that keeps a server out
@@ -76,19 +76,17 @@
         self.tables, self.valves, self.proxies = [], {None: Valve()}, Proxies(charter, FORGET)
         # One table of a shard for all proxies would be proxies times servers connections and lines: where
         # proxies are many, those of a zone form groups, each a class of its own to the shards.
-        apart = charter["proxies"] >= zones * GROUP
+        apart = self.apart = charter["proxies"] >= zones * GROUP
         self.parts = max(1, charter["proxies"] // (zones * GROUP))
         for place in [] if charter["slices"] else self.order:
             own, name = self.classes[place]["own_zone"], self.classes[place]["name"]
             for zone, part in product(range(zones) if own or apart else [None], range(self.parts)):
-                number = (part * len(self.order) + place) * (zones + 1)
-                number += 0 if zone is None else zone + 1
+                number = (part * len(self.order) + place) * (zones + 1) + (0 if zone is None else 1 + zone)
                 name_here = f"{name} {zone} {part}" if apart else name
                 self.tables.append(Table(number, place, zone, own, name_here))
                 for near in range(zones) if zone is None else [zone]:
                     self.proxies.serving[near, part].append(self.tables[-1])
-                if own:
-                    self.valves.setdefault(zone, Valve())
+                self.valves.setdefault(zone if own else None, Valve())
         self.fleet, self.joining = {}, []
         self.health = defaultdict(lambda: Health(spell=SPELL))
         self.withdrawn, self.shares, self.shared_at = set(), {}, 0
@@ -107,7 +105,7 @@
         self.host.watch(True)
 
     def list_failed(self):
-        # Later each time and not in step with others, so that a slow list service is not kept down.
+        # Later each time, not in step with others, so that a slow list service is not kept down.
         self.subscribed, self.pause = False, min(self.pause * 2, 8 * SECOND)
         self.host.wake(self.pause // 2 + self.chance.below(self.pause), 1)
 
@@ -294,7 +292,9 @@
         if not self._full() or self.parts > 1:
             wide = sum(rates[other.number] for other in self.tables if other.place == table.place)
             share = self.shares[table.place] * rates[table.number] / max(1e-9, wide)
-            need = min(need, SHARE_TARGET * share * (whole if table.zone is not None else need))
+            # Larger shards are evener; where proxies can't step away, groups keep a failure from one another.
+            target = TARGET_APART if self.apart and not self.charter["strikes"] else TARGET
+            need = min(need, target * share * (whole if table.zone is not None else need))
         if not (table.bound or table.zone is None):
             asked = {bound: sum(self._rate(other, rates) for other in self.tables if other.zone == table.zone
                                 and other.bound == bound) for bound in (False, True)}
@@ -433,7 +433,7 @@
             recent[index] = self.health[index].since(since)
             for zone, (_, tries, failed, took, _) in recent[index]:
                 if tries > failed and took:
-                    times[zone, server.kind, serves[index]].append((index, took, tries - failed))
+                    times[zone, server.kind, serves[index]].append((index, took, min(ENOUGH, tries - failed)))
             tries, failed = (sum(report[k] for _, report in recent[index]) for k in (1, 2))
             if tries >= ENOUGH:
                 fails[index] = failed / tries if failed > ENOUGH // 2 else 0.0
--- a/indigodeck/simhost/codec.py
+++ b/indigodeck/simhost/codec.py
@@ -54,6 +54,7 @@
     ("own_zone", "", "zone", 1, 0),
     ("lines_per_s", "domain", "linesPerS", 1, REQUIRED),
     ("proxies", "domain", "proxies", 1, 0),
+    ("strikes", "domain", "strikes", 1, 0),
     ("waiting_most", "domain", "mostWaiting", 1, REQUIRED),
     ("head_lines", "domain", "fixedCost", 1, REQUIRED),
     ("bare_time", "domain", "blackholeMs", TIME, REQUIRED),
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -16,7 +16,7 @@
     safe = dict(name="read", agreed_time=SECOND, patience=3 * SECOND, credit=1, late_credit=0.1,
                 repeat_window=0, repeats="safe", repeat_scope="all", own_zone=False)
     dear = dict(safe, name="write", credit=3, repeats="keyed", repeat_scope="cell")
-    stated = dict(classes=[safe, dear], zones=1, instances=1, proxies=2, gone_binds=True, slices=0,
+    stated = dict(classes=[safe, dear], zones=1, instances=1, proxies=2, gone_binds=True, strikes=0, slices=0,
                   lines_per_s=2000, waiting_most=2000,
                   head_lines=4, way_longest=SECOND // 2, way_mean=SECOND // 5, messages_most=0,
                   messages_span=10 * SECOND, report_period=SECOND, bare_time=5 * SECOND, cold_time=16 * SECOND,
