--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -96,7 +96,7 @@
         self.pushed_at, self.pause = -SPELL_MOST, SECOND
         self.heard_at = self.reviewed_at = self.asked_at = 0
         self.subscribed, self.slices = not charter["list_asked"], {}
-        if not self.subscribed:
+        if charter["list_asked"]:
             self._ask()
         host.wake(TURN, 0)
 
@@ -159,9 +159,8 @@
         rest, now, limit = [], self.host.now(), self.charter["waiting_most"] * QUEUE_PART
         waiting = {proxy for proxy in self.joining if self.proxies[proxy].joined}
         for proxy in sorted(waiting, key=lambda p: (-self.proxies[p].rate, p)):
-            tables = self.proxies.tables_of(proxy)
+            tables, queue = self.proxies.tables_of(proxy), self.channel.queue(now)
             lines = sum(2 + len(table.lines) + len(self.withdrawn & table.lines.keys()) for table in tables)
-            queue = self.channel.queue(now)
             if rest or queue and queue + self.channel.cost({proxy}, lines) > limit:
                 rest.append(proxy)
                 continue
@@ -202,7 +201,7 @@
             self._try_again(health)
 
     def told(self, peer, data):
-        pass        # planners share nothing that these decisions need
+        """Planners share nothing that these decisions need."""
 
     def woken(self, token):
         now = self.host.now()
@@ -253,8 +252,8 @@
     def _resize(self, rates):
         now, total = self.host.now(), sum(rates.values())
         if self.valves[None].open == 1 and total:       # else repeats of refused ones would count as demand
-            self.natural = {place: sum(rates[table.number] for table in self.tables
-                                       if table.place == place) / total for place in self.order}
+            self.natural = {place: sum(rates[table.number] for table in self.tables if table.place == place)
+                            / total for place in self.order}
         moved = max(abs(self.natural[place] - self.shares.get(place, 0)) for place in self.order)
         if not self.shares or moved > RESIZE_BY and now - self.shared_at > RESIZE_EVERY:
             self.shares, self.shared_at = self.natural, now
@@ -397,8 +396,8 @@
             # would be sent all that they had before any list or report can tell.
             warm = [m for m in table.members if m not in budgets or now - ready[m].started > cold_time // 2]
             few = warm and (len(warm) < LEAST_SERVERS or self.valves[None].cut)
-            table.want = {m: self.fleet[m].weight * self._ramp(self.fleet[m])
-                          for m in (warm if few else table.members)}
+            members = [self.fleet[m] for m in (warm if few else table.members)]
+            table.want = {server.index: server.weight * self._ramp(server) for server in members}
         # Ramps are relative: where most of a shard is cold they protect nothing. Load over all classes is
         # bounded on each cold server; what warm ones can't take is kept out by the tables' levels.
         for last in [False] * 6 + [True]:
@@ -483,8 +482,8 @@
         self._bar(index, left, ready, cause)
 
     def _bar(self, index, places, ready, cause):
-        health = self.health[index]
-        out = weigh(server for i, server in ready.items() if self.health[i].barred or i == index)
+        health, out = self.health[index], weigh(
+            server for i, server in ready.items() if self.health[i].barred or i == index)
         if out > weigh(ready.values()) * (OUT_SLOW if cause == "slow" else OUT_FAILED):
             return
         health.barred |= frozenset(places)
@@ -493,9 +492,8 @@
         self.host.log(f"server {index} leaves classes {places}: {cause}")
 
     def _try_again(self, health):
-        now = self.host.now()
-        health.barred, health.out, health.strikes, health.trial = frozenset(), False, 0, now
-        health.judge_from = now + self._echo()
+        health.barred, health.out, health.strikes, health.trial = frozenset(), False, 0, self.host.now()
+        health.judge_from = health.trial + self._echo()
 
     def _turn_valve(self, zone, valve, ready, everything, fails, agreed, fleet_busy):
         now, period = self.host.now(), self.charter["report_period"]
@@ -507,10 +505,12 @@
             return
         # Two of five slow answers tell a flood from a few bad servers. No answer at all is the deepest jam.
         busy = quantile(0.6, took) / agreed if took else 2.0
-        # In a jam the fleet's valve decides, which knows whose credit is least, unless a zone is far worse.
-        may_cut = zone is None or self.valves[None].open == 1 or fleet_busy < BUSY and busy > 1.5 * fleet_busy
-        calmest = min(other.calmest for other in self.valves.values())
-        if valve.turn(now, self._echo(), calmest, busy, median(failing), tried, done, weight, may_cut):
+        # In a jam the fleet's valve decides, which knows whose credit is least, unless a zone is far worse
+        # by the word of half its servers: a planner may hear of a zone from a handful of proxies.
+        may_cut = zone is None or 2 * len(failing) >= len(ready) and (
+            self.valves[None].open == 1 or fleet_busy < BUSY and busy > 1.5 * fleet_busy)
+        calm = min(other.calmest for other in self.valves.values())
+        if valve.turn(now, self._echo(), calm, busy, median(failing), tried, done, weight, may_cut):
             refuse = 1 - self.valves[None].open
             for place in sorted(self.order, key=lambda k: (self.classes[k]["credit"], k)):
                 # What earns the least credit is refused first, but never all of it.
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -214,6 +214,18 @@
         rig.printed = [line for line in rig.printed if "level" in line]
         self.compare("one-zone", rig)
 
+    def test_a_zone_is_not_cut_on_the_word_of_few_servers(self):
+        rig = zoned()
+
+        def reports(rig):
+            rig.report(tries=40)
+            for index in (1, 3):
+                rig.assigner.heard(1, index, 9, 0, 900_000 if rig.clock > 6 * SECOND else 200_000, SECOND, None)
+            for index in (5, 7, 9, 11):
+                rig.assigner.health[index].reports.clear()
+        rig.run(12, reports)
+        self.assertFalse([line for line in rig.printed if "zone 1 open" in line])
+
     def test_others_leave_servers_that_a_zone_bound_class_fills(self):
         rig = zoned()
 
