Broken rule: a cold server pushed over when a valve opened wide amid a release; opened in smaller steps

The valve went from 0.45 to 0.89 on calm reports, most of the old servers were draining unseen and refused, and the flow fell on the few cold ones: 5.9 times what one could do. It should also cover returns of the true list and rejoining proxies; it may hurt where a cut was false and deep: three steps instead of one.

--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -60,10 +60,11 @@
             part = max(self.open * self.target / tried, 0.6 * self.target / self.asked)
             self.open = max(0.1, min(self.open, part))
         elif self.open < 1 and busy < CALM and (settled or self.cut):
-            # Reports lag: one step up on the first calm ones, no further than what was asked for.
+            # Reports lag: one step up on the first calm ones, no further than what was asked for, by half as much
+            # again at most: amid a release a doubled flow would fall on the few that still accept.
             self.target, self.failed, self.cut = max(self.target * 1.06, ABLE_PART * able), 0.0, False
             part = min(self.open * self.target / tried, max(self.open * 1.15, self.target / self.asked))
-            self.open = min(1.0, max(self.open * 1.06, part))
+            self.open = min(1.0, 1.5 * self.open, max(self.open * 1.06, part))
         self.turned_at = now if self.open != before else self.turned_at
         return self.open != before
 
@@ -230,11 +231,10 @@
             return self._settle_slices()
         if not self.proxies:
             return      # draws go by planned load: without any, busy servers would be met by chance
-        now = self.host.now()
-        expected = self.proxies.expected(now)
+        expected = self.proxies.expected(self.host.now())
         self._resize(expected)
         self._shards(expected)
-        self._weigh(self.proxies.rates(now, peak=True))
+        self._weigh(self.proxies.rates(self.host.now(), peak=True))
         self._push()
         self._bind()
 
@@ -392,10 +392,10 @@
         budgets = {index: server.weight * pace * (share + grown * max(0, now - server.started))
                    for index, server in ready.items() if server.started and now - server.started < cold_time}
         for table in self.tables:
-            # Beside few warm ones, or in a jam, a cold server waits: were those lost, or left by proxies, it
-            # would be sent all that they had before any list or report can tell.
+            # Beside few warm ones, or while less is let in, a cold server waits: were those lost, or left by
+            # proxies, it would be sent all that they had before any list or report can tell.
             warm = [m for m in table.members if m not in budgets or now - ready[m].started > cold_time // 2]
-            few = warm and (len(warm) < LEAST_SERVERS or self.valves[None].cut)
+            few = warm and (len(warm) < LEAST_SERVERS or self.valves[None].open < 1)
             members = [self.fleet[m] for m in (warm if few else table.members)]
             table.want = {server.index: server.weight * self._ramp(server) for server in members}
         # Ramps are relative: where most of a shard is cold they protect nothing. Load over all classes is
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -176,6 +176,16 @@
         levels = [line for line in rig.printed if "level" in line and "level 1.00" not in line]
         self.assertTrue(levels)
 
+    def test_a_valve_opens_by_half_as_much_again_at_most_in_a_step(self):
+        rig = Rig()
+        rig.start(fleet())
+        rig.run(6, lambda rig: rig.report())
+        rig.run(8, lambda rig: rig.report(lambda index: 900_000, lambda index: 15, 30, (160, 80)))
+        rig.run(16, lambda rig: rig.report(tries=6, demand=(12, 8)))
+        opens = [float(line.split("open ")[1].split()[0]) for line in rig.printed if "open" in line]
+        self.assertLess(opens[0], 0.6)
+        self.assertTrue(all(after <= 1.51 * before + 0.01 for before, after in zip(opens, opens[1:])), opens)
+
     def test_failures_with_quick_answers_close_no_valve(self):
         rig = Rig()
         rig.start(fleet())
