--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -60,8 +60,8 @@
             part = max(self.open * self.target / tried, 0.6 * self.target / self.asked)
             self.open = max(0.1, min(self.open, part))
         elif self.open < 1 and busy < CALM and (settled or self.cut):
-            # Reports lag: one step up on the first calm ones, no further than what was asked for, by half as much
-            # again at most: amid a release a doubled flow would fall on the few that still accept.
+            # Reports lag: one step up on the first calm ones, no further than what was asked for, by half as
+            # much again at most: amid a release a doubled flow would fall on the few that still accept.
             self.target, self.failed, self.cut = max(self.target * 1.06, ABLE_PART * able), 0.0, False
             part = min(self.open * self.target / tried, max(self.open * 1.15, self.target / self.asked))
             self.open = min(1.0, 1.5 * self.open, max(self.open * 1.06, part))
