--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -523,7 +523,7 @@
         """Writes what has changed: what the rules need first, then the largest, as the channel allows."""
         now, most, span = self.host.now(), self.charter["messages_most"], self.charter["messages_span"]
         ready, changes = self._ready(), []
-        pressing = self._withdraw(ready)
+        drained = pressing = self._withdraw(ready)
         for table in self.tables:
             for server in table.lines.keys() | table.want.keys():
                 old, new = table.lines.get(server, 0.0), round(table.want.get(server, 0.0), 4)
@@ -535,13 +535,16 @@
             if table.level is None or abs(level - table.level) > 0.03 or (level == 1.0 != table.level):
                 changes.append((level >= (table.level or 0), -9e9, table.number, -1, level, table))
         pressing = pressing or any(not change[0] for change in changes)
-        if changes and not pressing and now - self.pushed_at < max(TURN, span * 2 // most if most else 0):
+        # Each join moves what is expected, and cold lines and levels with it: written at once each time they
+        # spent a proxy's messages within seconds, and the next drain found none left.
+        gap = 0 if drained else span // most if most else 0
+        if changes and now - self.pushed_at < (gap if pressing else max(TURN, 2 * gap)):
             return
         limit = self.charter["waiting_most"] * QUEUE_PART
         for ordinary, _, _, server, value, table in sorted(changes, key=lambda change: change[:4]):
             room = min(limit, self.charter["lines_per_s"] * LINES_TURN) if ordinary else limit
             queue = self.channel.queue(now) + self.channel.cost(table.users, 1)
-            if table.users and (queue > room or not self._may_write(table.users, 4 if ordinary else 1)):
+            if table.users and (queue > room or not self._may_write(table.users, 5 if ordinary else 3)):
                 continue
             self.channel.charge(self.proxies, table.users, 1, now)
             if server < 0:
@@ -560,18 +563,20 @@
             self.host.mark(self.channel.mark(), False)
 
     def _withdraw(self, ready):
-        joined, now = self.proxies.joined(), self.host.now()
+        joined, now, before = self.proxies.joined(), self.host.now(), set(self.withdrawn)
         stale = (self.health.keys() - ready.keys() - self.withdrawn) | (self.withdrawn & ready.keys())
         for server in sorted(stale):
-            if not self._may_write(joined, 1):
-                break
+            # Only those that hold a table with it are written to: those not yet bound may. One that may be
+            # written no more holds back its own tables' servers, not the drains of all.
+            holders = joined.intersection(self.joining).union(
+                *(t.users for t in self.tables if server in t.lines))
+            if not self._may_write(holders, 1):
+                continue
             self.host.withdraw(server, server not in ready)
             self.health[server].until = now
-            # Only those that hold a table with it are written to: those not yet bound may.
-            holders = set(self.joining).union(*(t.users for t in self.tables if server in t.lines))
-            self.channel.charge(self.proxies, holders & joined, 1, now)
+            self.channel.charge(self.proxies, holders, 1, now)
             self.withdrawn ^= {server}
-        return bool(stale)
+        return self.withdrawn != before
 
     def _may_write(self, proxies, spare):
         """Whether so many messages more, beside this one, would stay under what each may be written."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -115,6 +115,36 @@
         moments = {line[:9] for line in rig.printed if "table" in line or "withdraw" in line}
         self.assertLessEqual(len(moments) + 1, 8)
 
+    def test_joins_among_cold_servers_leave_messages_for_the_next_drains(self):
+        # Day h8334b8: a restarted planner, proxies that join one by one, cold servers, and drains in waves.
+        rig = Rig(charter(messages_most=20, proxies=40))
+        rig.clock = 60 * SECOND
+        rig.assigner.listed(CHANGES, [server(index, started=index % 3 * 25 * SECOND) for index in range(12)])
+        for proxy in range(40):
+            rig.assigner.proxy_joined(proxy, 0, 2.0 + proxy % 7, False)
+            rig.run(0.1)
+        most = max(len(proxy.written) for proxy in rig.assigner.proxies.values())
+        rig.printed = [f"messages to one proxy while 40 joined: {most}"]
+        for index in (4, 7, 9):
+            rig.change(server(index, DRAINING))
+            rig.run(0.4)
+        rig.printed = [line for line in rig.printed if "withdraw" in line or "messages" in line]
+        self.compare("drains-after-joins", rig)
+        self.assertEqual(rig.assigner.withdrawn, {4, 7, 9})
+
+    def test_a_proxy_at_its_limit_holds_back_its_own_drains_alone(self):
+        rig = Rig(charter(messages_most=20, proxies=40))
+        rig.start(fleet(30), proxies=40)
+        rig.run(3)
+        first = rig.assigner.proxies[0]
+        first.written.extend([rig.clock] * (19 - len(first.written)))
+        held = set().union(*(table.lines for table in rig.assigner.tables if 0 in table.users))
+        others = sorted(set(range(30)) - held)
+        rig.change(server(others[0], DRAINING), server(min(held), DRAINING))
+        self.assertEqual(rig.assigner.withdrawn, {others[0]})
+        rig.run(11)
+        self.assertEqual(rig.assigner.withdrawn, {others[0], min(held)})
+
     def test_list_is_asked_again_after_failures_ever_later(self):
         rig = Rig(charter(list_asked=True))
         rig.start(fleet(4))
