--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -21,7 +21,7 @@
 HOT, COOL = 1.15, 0.95      # planned load by other shards, over the fleet's mean, that keeps a server out
 RAMP_FROM, RAMP_STEPS = 0.25, 3      # a newcomer's first weight; doublings spread over the cold time
 TIP_MARGIN = 0.4            # guard: part of what would tip a cold server that is planned for
-SLOW, FAILING, DEAD, ENOUGH = 2.2, 0.25, 0.85, 8
+SLOW, FAILING, DEAD, ENOUGH, LOST = 2.2, 0.25, 0.85, 8, 0.125
 OUT_SLOW, OUT_FAILED = 0.2, 0.5      # share of listed weight that may be out for either cause
 SPELL, SPELL_MOST = 8 * SECOND, 40 * SECOND
 FORGET, DOUBT = 20 * SECOND, SECOND  # a proxy that left; between two looks at a server that may be gone
@@ -35,13 +35,14 @@
 
     def __init__(self):
         self.open, self.target, self.asked, self.failed = 1.0, 0.0, 0.0, 0.0
-        self.turned_at, self.cut, self.calmest = 0, False, 9.0
+        self.turned_at, self.cut, self.calmest, self.lost = 0, False, 9.0, 0.0
         self.shown, self.seen = deque(maxlen=32), deque(maxlen=3)
 
     def turn(self, now, echo, calmest, busy, failing, tried, done, weight, may_cut):
         # In a jam the fleet completes less than it can, for work done for clients that have given up counts
         # for nothing; levels cut to that would never find the way out. So the best it has shown, but for two.
         self.shown.append(done / weight)
+        self.lost = 1 - done / tried
         able = sorted(self.shown)[-min(3, len(self.shown))] * weight
         before, settled = self.open, now >= self.turned_at + echo
         self.seen.append(busy)
@@ -393,9 +394,11 @@
                    for index, server in ready.items() if server.started and now - server.started < cold_time}
         for table in self.tables:
             # Beside few warm ones, or while less is let in, a cold server waits: were those lost, or left by
-            # proxies, it would be sent all that they had before any list or report can tell.
+            # proxies, it would be sent all that they had before any list or report can tell. Proxies that step
+            # away do so when many tries are lost, which late reports show before the median server is slow.
             warm = [m for m in table.members if m not in budgets or now - ready[m].started > cold_time // 2]
-            few = warm and (len(warm) < LEAST_SERVERS or self.valves[None].open < 1)
+            few = warm and (len(warm) < LEAST_SERVERS or self.valves[None].open < 1 or (
+                self.charter["strikes"] and self.valves[None].lost > LOST))
             members = [self.fleet[m] for m in (warm if few else table.members)]
             table.want = {server.index: server.weight * self._ramp(server) for server in members}
         # Ramps are relative: where most of a shard is cold they protect nothing. Load over all classes is
--- /dev/null
+++ b/indigodeck/fronts/sasp/server.py
@@ -0,0 +1,237 @@
+"""The sockets of the SASP front, on Tornado's streams: one coroutine reads, one writes, each message whole."""
+import fcntl
+import struct
+import termios
+
+from tornado.gen import sleep, with_timeout
+from tornado.ioloop import IOLoop
+from tornado.iostream import StreamClosedError
+from tornado.locks import Event
+from tornado.netutil import bind_sockets
+from tornado.tcpserver import TCPServer
+from tornado.util import TimeoutError as TooLate
+
+from . import codec
+from .conversation import Conversation, Office
+from ...planner.allowance import Allowance
+
+SECOND = 1_000_000
+
+
+class Line:
+    """One connection: reads requests one at a time and answers them, writes weights when some wait."""
+
+    def __init__(self, front, stream, address):
+        self.front, self.stream, self.address = front, stream, address
+        self.conversation = Conversation(front.office, self)
+        self.wanted, self.answers, self.closing = Event(), [], None
+        stream.set_nodelay(True)
+
+    # What the conversation may do.
+
+    def send(self, data):
+        self.answers.append(data)
+
+    def due(self):
+        self.wanted.set()
+
+    def close(self, why):
+        if not self.stream.closed() and self.closing is None:
+            self.closing = why
+            IOLoop.current().add_callback(self._close)
+
+    def _close(self):
+        # After what was answered has left: a refusal is worth nothing if it never arrives.
+        if not self.stream.closed():
+            self.front.note("cut off", peer=self.conversation.name() or self.address[0], why=self.closing)
+            self.stream.close()
+
+    # The two coroutines.
+
+    async def run(self):
+        writer = IOLoop.current().asyncio_loop.create_task(self._write())
+        try:
+            while self.closing is None:
+                message = await self._message()
+                await self._allowed()
+                self.conversation.read(message)
+                await self._answer()
+        except StreamClosedError:
+            pass
+        except TooLate:
+            self.close("a message was begun and not ended in time")
+        except codec.Malformed as error:
+            self.front.note("malformed", peer=self.conversation.name(), why=str(error), code=error.code)
+            self.close(str(error))
+        finally:
+            writer.cancel()
+            self.conversation.ended()
+            self._close()
+
+    async def _message(self):
+        """One whole message. It may be long in coming; once begun, it must end in time."""
+        first = await self.stream.read_bytes(1)
+        deadline = IOLoop.current().time() + self.front.message_time
+        rest = await with_timeout(deadline, self.stream.read_bytes(codec.HEADER.size - 1), StreamClosedError)
+        whole, _ = codec.head(first + rest, self.front.office.bounds)
+        body = await with_timeout(deadline, self.stream.read_bytes(whole - codec.HEADER.size), StreamClosedError)
+        return first + rest + body
+
+    async def _allowed(self):
+        """A relay that asks too often waits; what it sends meanwhile stays in its own socket."""
+        while wait := self._allowance().answer_in(self.front.now()):
+            await sleep(wait / SECOND)
+
+    def _allowance(self):
+        return self.front.allowance(self.conversation.uid or self.address)
+
+    async def _answer(self):
+        answers, self.answers = self.answers, []
+        for data in answers:
+            self._allowance().wrote(self.front.now(), answer=True)
+            await self._sent(data)
+
+    async def _sent(self, data):
+        # A peer that reads nothing holds up its own connection, and not for ever.
+        await with_timeout(IOLoop.current().time() + self.front.deaf_time, self.stream.write(data), StreamClosedError)
+
+    async def _write(self):
+        try:
+            while True:
+                await self.wanted.wait()
+                self.wanted.clear()
+                # Registered or not, what is withdrawn waits until it can be told; one message at a time.
+                while wait := self._allowance().order_in(self.front.now()):
+                    await sleep(wait / SECOND)
+                proxy = self.conversation.proxy
+                parcel = self.front.desk.take(proxy) if proxy is not None else None
+                data = self.conversation.news()
+                if data is not None:
+                    self._allowance().wrote(self.front.now())
+                    await self._sent(data)
+                    await self._taken()
+                if parcel is not None and (data is not None or self.conversation.groups):
+                    self.front.desk.acknowledged(parcel)
+        except StreamClosedError:
+            pass
+        except TooLate:
+            self.close("it reads nothing")
+
+    async def _taken(self):
+        """Until the peer's side has acknowledged every byte: the next state is made only then, so that what
+        was ordered meanwhile is one message and not many. No acknowledgement is known to this protocol."""
+        rest, tick = self.front.deaf_time, 0.001
+        while not self.stream.closed() and unread(self.stream.socket):
+            if rest <= 0:
+                raise TooLate
+            await sleep(tick)
+            rest -= tick
+            tick = min(2 * tick, 0.05)
+        if self.stream.closed():
+            raise StreamClosedError
+
+
+def unread(sock):
+    """Bytes written to a socket that the other side has not acknowledged."""
+    return struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))[0]
+
+
+class SaspFront(TCPServer):
+    """Listens for load balancers and members. `service`: the program around (planner/service.py)."""
+
+    def __init__(self, service, charter):
+        super().__init__(max_buffer_size=2 * charter.fronts["sasp"].get("message_bytes", 1 << 20))
+        stated = charter.fronts["sasp"]
+        self.service, self.desk, self.channel = service, service.desk, charter.channel
+        bounds = codec.Bounds(stated.get("message_bytes", 1 << 20), stated.get("groups", 64),
+                              stated.get("members", 1024))
+        self.span = charter.stated["messages_span"]
+        self.office = Office(self.desk, self, charter.classes, bounds, stated.get("interval_s", 5), self.span)
+        self.connections = stated.get("connections", 4096)
+        self.message_time = stated.get("message_ms", 5000) / 1000
+        self.deaf_time = stated.get("deaf_ms", 60_000) / 1000
+        self.lines, self.allowances, self.uids = set(), {}, {}
+
+    def now(self):
+        return self.service.now()
+
+    def listen(self, port, address):
+        sockets = bind_sockets(port, address)
+        self.add_sockets(sockets)
+        self.bound = sockets[0].getsockname()[1]
+
+    def port(self):
+        return self.bound
+
+    async def handle_stream(self, stream, address):
+        if len(self.lines) >= self.connections:
+            self.note("refused", peer=address[0], why=f"{self.connections} connections are open")
+            return stream.close()
+        line = Line(self, stream, address)
+        self.lines.add(line)
+        try:
+            await line.run()
+        finally:
+            self.lines.discard(line)
+
+    def allowance(self, who):
+        """One account for each relay, kept over its connections for as long as what was written counts."""
+        found = self.allowances.get(who)
+        if found is None:
+            for name in [name for name, held in self.allowances.items() if held.idle(self.now())]:
+                del self.allowances[name]
+            found = self.allowances[who] = Allowance(
+                self.channel["messages_most"], self.span, self.channel["answers_most"],
+                self.service.charter.stated["way_longest"])
+        return found
+
+    def due(self, proxy):
+        conversation = self.office.balancers.get(self.uids.get(proxy))
+        if conversation is not None:
+            conversation.line.due()
+
+    def standing_of(self, places):
+        """Something about these servers changed that no table tells: flags, or who may be told of them."""
+        for conversation in self.office.balancers.values():
+            if conversation.push and any(
+                    where in group.members or where in group.told
+                    for group in conversation.groups.values() for where in places):
+                conversation.line.due()
+
+    def relays(self):
+        return sorted(uid.decode("utf-8", "replace") for uid in self.office.balancers)
+
+    def cease(self):
+        self.stop()
+        for line in list(self.lines):
+            line.close("the planner ends")
+
+    # What the office asks of the program.
+
+    def proxy(self, uid):
+        number = self.service.proxy_number(uid)
+        if number is not None:
+            self.uids[number] = uid
+        return number
+
+    def joined(self, proxy, uid):
+        # What an earlier connection wrote before its id was known here counts as well.
+        self.service.joined(self, proxy, uid.decode("utf-8", "replace"))
+
+    def left(self, proxy):
+        self.service.left(self, proxy)
+
+    def server_at(self, where):
+        return self.service.server_at(where)
+
+    def address(self, server):
+        return self.service.address(server)
+
+    def in_contact(self, server):
+        return self.service.in_contact(server)
+
+    def quiesced(self, where, on):
+        return self.service.quiesced(where, on)
+
+    def note(self, event, **facts):
+        self.service.note(event, front="sasp", **facts)
--- /dev/null
+++ b/indigodeck/planner/desk.py
@@ -0,0 +1,260 @@
+"""The assigner's host in a running planner, free of I/O: what each proxy should hold, and what waits for it.
+
+The desk decides no table. It keeps what the assigner orders, tells the outside which proxies have something
+waiting, and hands over the newest state when a proxy can be written to: what was ordered in between is
+never sent. Fronts read it through `take`, `view` and `standing`; times are whole microseconds.
+"""
+from typing import NamedTuple, Protocol
+
+from ..choice import Assigner
+from ..host import Server
+
+
+class Outside(Protocol):
+    """What the desk may ask of the program around it."""
+
+    def now(self) -> int: ...
+
+    def later(self, after: int, call) -> None: ...
+
+    def due(self, proxy: int) -> None:
+        """Something waits for this proxy."""
+
+    def probe(self, server: int) -> None:
+        """Try a real exchange on it, and answer with the desk's `probed`."""
+
+    def ask_list(self, watch: bool) -> None: ...
+
+    def note(self, text: str) -> None: ...
+
+
+class Parcel(NamedTuple):
+    """What a proxy is handed at one time: the classes that changed (by place), since when the oldest order
+    waited, and the marks to acknowledge with the time of each."""
+    proxy: int
+    places: frozenset
+    since: int
+    marks: tuple
+
+
+class Holding:
+    """One joined proxy: its table for each class, and what waits for it."""
+
+    def __init__(self):
+        self.bound, self.waiting, self.since, self.marks = {}, {}, None, []
+
+    def touch(self, now, place, servers):
+        self.since = now if self.since is None else self.since
+        self.waiting.setdefault(place, set()).update(servers)
+
+    def lines(self):
+        return sum(max(1, len(servers)) for servers in self.waiting.values())
+
+
+class Door:
+    """Ids as the deployment knows them, mapped to small indices that are never used twice."""
+
+    def __init__(self):
+        self.index_of, self.id_of = {}, []
+
+    def index(self, name):
+        found = self.index_of.get(name)
+        if found is None:
+            found = self.index_of[name] = len(self.id_of)
+            self.id_of.append(name)
+        return found
+
+
+class Desk:
+    def __init__(self, outside, stated, seed, make=Assigner):
+        self.outside, self.stated = outside, stated
+        self.places = range(len(stated["classes"]))
+        self.tables, self.levels, self.withdrawn = {}, {}, set()
+        self.holdings, self.servers = {}, {}
+        self.reached, self.marked, self.most_waiting = set(), [], 0
+        self.assigner = None
+        self.assigner = make(self, stated, seed)
+        self._settle()
+
+    # What happens; each ends with what the assigner ordered being laid out for the proxies concerned.
+
+    def listed(self, kind, servers):
+        self.servers.update((server.index, server) for server in servers)
+        self.assigner.listed(kind, servers)
+        self._settle()
+
+    def list_failed(self):
+        self.assigner.list_failed()
+        self._settle()
+
+    def proxy_joined(self, proxy, zone, rate, fresh):
+        holding = self.holdings[proxy] = Holding()
+        if self.withdrawn:
+            # It may come with tables of an earlier stream: what is withdrawn binds it before any table does.
+            for place in self.places:
+                holding.touch(self.outside.now(), place, self.withdrawn)
+            self.reached.add(proxy)
+        self.assigner.proxy_joined(proxy, zone, rate, fresh)
+        self._settle()
+
+    def proxy_left(self, proxy):
+        if self.holdings.pop(proxy, None) is not None:
+            self.assigner.proxy_left(proxy)
+            self._settle()
+
+    def heard(self, zone, server, tries, failed, took, span, load):
+        self.assigner.heard(zone, server, tries, failed, took, span, load)
+
+    def demand(self, proxy, place, exchanges, failed, span):
+        self.assigner.demand(proxy, place, exchanges, failed, span)
+
+    def probed(self, server, outcome, took, load):
+        self.assigner.probed(server, outcome, took, load)
+        self._settle()
+
+    def acknowledged(self, parcel):
+        """The transport says that the proxy has taken a parcel."""
+        if parcel.proxy in self.holdings:
+            for number, ordered in parcel.marks:
+                self.assigner.applied(parcel.proxy, number, self.outside.now() - ordered)
+            self._settle()
+
+    def _woken(self, token):
+        self.assigner.woken(token)
+        self._settle()
+
+    def _settle(self):
+        """Orders of one call travel together: the outside hears of each proxy once."""
+        reached, self.reached = self.reached, set()
+        for proxy in sorted(reached & self.holdings.keys()):
+            self.holdings[proxy].marks.extend((number, self.outside.now()) for number in self.marked)
+            # A proxy that reads nothing would gather marks for ever; the newest say all that is asked.
+            del self.holdings[proxy].marks[:-64]
+        self.marked = []
+        self.most_waiting = max(self.most_waiting, self.queue())
+        for proxy in sorted(reached & self.holdings.keys()):
+            self.outside.due(proxy)
+
+    # What fronts read.
+
+    def queue(self):
+        """Lines that wait for all proxies, heads included."""
+        head = self.stated["head_lines"]
+        return sum(holding.lines() + head for holding in self.holdings.values() if holding.waiting)
+
+    def waits(self, proxy):
+        return proxy in self.holdings and bool(self.holdings[proxy].waiting)
+
+    def take(self, proxy):
+        """What waits for a proxy, as one parcel, or None; from then on it waits no more."""
+        holding = self.holdings.get(proxy)
+        if holding is None or not holding.waiting:
+            return None
+        parcel = Parcel(proxy, frozenset(holding.waiting), holding.since, tuple(holding.marks))
+        holding.waiting, holding.since, holding.marks = {}, None, []
+        return parcel
+
+    def put_back(self, parcel):
+        """A parcel that could not be written: it waits again, with whatever came meanwhile."""
+        holding = self.holdings.get(parcel.proxy)
+        if holding is not None:
+            for place in parcel.places:
+                holding.touch(parcel.since, place, ())
+            holding.since = min(parcel.since, holding.since)
+            holding.marks[:0] = parcel.marks
+
+    def view(self, proxy, place):
+        """The lines {server: weight} that a proxy should hold for a class; None while it is bound to no
+        table, and follows what it held before, but for what is withdrawn."""
+        holding = self.holdings.get(proxy)
+        table = holding.bound.get(place) if holding else None
+        if table is None:
+            return None
+        return {server: weight for server, weight in self.tables.get(table, {}).items()
+                if server not in self.withdrawn}
+
+    def level(self, proxy, place):
+        """(part let in, way of further tries) of a proxy's table for a class; (1, 0) where none is set."""
+        table = self.holdings[proxy].bound.get(place) if proxy in self.holdings else None
+        return self.levels.get((table, place), (1.0, 0))
+
+    def standing(self, server) -> Server | None:
+        """The list's last entry for a server, or None if it was never listed."""
+        return self.servers.get(server)
+
+    # What the assigner may do.
+
+    def now(self):
+        return self.outside.now()
+
+    def wake(self, after, token):
+        self.outside.later(after, lambda: self._woken(token))
+
+    def _users(self, table):
+        for proxy, holding in self.holdings.items():
+            for place, bound in holding.bound.items():
+                if bound == table:
+                    yield proxy, holding, place
+
+    def _touch(self, table, servers):
+        now = self.outside.now()
+        for proxy, holding, place in self._users(table):
+            holding.touch(now, place, servers)
+            self.reached.add(proxy)
+
+    def line(self, table, server, weight):
+        lines = self.tables.setdefault(table, {})
+        if weight > 0:
+            lines[server] = weight
+        else:
+            lines.pop(server, None)
+        self._touch(table, (server,))
+
+    def clear(self, table):
+        gone = self.tables.pop(table, {})
+        self.levels = {key: level for key, level in self.levels.items() if key[0] != table}
+        self._touch(table, gone)
+
+    def bind(self, proxy, table, classes):
+        holding = self.holdings.get(proxy)
+        if holding is None:
+            return
+        for place in classes or self.places:
+            holding.bound[place] = table
+            holding.touch(self.outside.now(), place, self.tables.get(table, ()))
+        self.reached.add(proxy)
+
+    def withdraw(self, server, out):
+        (self.withdrawn.add if out else self.withdrawn.discard)(server)
+        now = self.outside.now()
+        for proxy, holding in self.holdings.items():
+            for place in self.places:
+                table = holding.bound.get(place)
+                if table is None or server in self.tables.get(table, ()):
+                    holding.touch(now, place, (server,))
+                    self.reached.add(proxy)
+
+    def admit(self, table, classes, level, tries):
+        for place in classes or self.places:
+            self.levels[table, place] = level, tries
+        self._touch(table, ())
+
+    def mark(self, number, everyone):
+        self.marked.append(number)
+        if everyone:
+            self.reached.update(self.holdings)
+
+    def probe(self, server):
+        self.outside.probe(server)
+
+    def tell(self, peer, data):
+        """Planners share nothing here."""
+
+    def watch(self, on):
+        self.outside.ask_list(on)
+
+    def fetch(self):
+        self.outside.ask_list(False)
+
+    def log(self, text):
+        self.outside.note(text)
--- /dev/null
+++ b/indigodeck/planner/evidence.py
@@ -0,0 +1,189 @@
+"""What the assigner must hear and a protocol doesn't carry, worked out from hosts' own reports and from probes.
+
+A weight-advice protocol tells a planner neither what relays met at a server nor what comes to them. What a
+planner can know: the load report that each host gives when asked (exchanges completed and failed a second,
+exchanges in hand, the time its work takes), and real exchanges that it sends itself. From these:
+
+- Time at a host is the longer of what it says its work takes and what it holds over what it completes
+  (Little's law, L = lambda W: J. D. C. Little, "A Proof for the Queuing Formula", 1961), for the time that
+  a host states leaves out waiting.
+- A host that holds exchanges and completes none, while probes on it go unanswered, fails what it holds,
+  whatever its other figures say: a hung host reports the least use of its cores of all.
+- What comes to relays is what hosts complete and fail, by class where hosts tell, parted evenly over relays:
+  which relay brings how much is unknowable here, and so is what relays refuse or give up.
+
+Times are whole microseconds, rates a second. Nothing here does I/O: the shell asks `due` whom to ask, tells what
+came back, and calls `turn` once a period.
+"""
+from collections import deque
+from typing import NamedTuple
+
+SECOND = 1_000_000
+# A host is tried more closely from its first bad sign until it has shown so many good ones in a row.
+CLOSELY, REASSURED = 8, 4
+
+
+class Report(NamedTuple):
+    """A host's load report: part of its cores busy, exchanges in hand, work time in microseconds, exchanges
+    completed and failed a second (None where not told), the same by class."""
+    cores_busy: float
+    in_hand: float
+    work_time: int
+    completed: float | None = None
+    failed: float = 0.0
+    by_class: dict = {}
+
+
+class Case:
+    """What is known of one host: its last reports and the probes of this period and the last."""
+
+    def __init__(self):
+        self.reports, self.probes, self.shown = deque(maxlen=4), deque(maxlen=32), 0
+        self.suspect, self.good, self.asked_at, self.tried_at, self.out = False, 0, -1, -1, 0
+
+
+class Evidence:
+    """`desk`: its `heard`, `demand` and `now` are called. `stated`: the charter as the assigner knows it."""
+
+    def __init__(self, desk, stated, probes_per_s, probes_at_once):
+        self.desk, self.stated = desk, stated
+        self.rate, self.at_once = probes_per_s, probes_at_once
+        self.cases, self.proxies, self.turned_at, self.spent = {}, [], desk.now(), 0.0
+        self.budget_at = desk.now()
+
+    # The fleet and the relays, as they come and go.
+
+    def listed(self, servers):
+        for server in servers:
+            if server.state == "gone":
+                self.cases.pop(server.index, None)
+            elif server.index not in self.cases:
+                self.cases[server.index] = Case()
+
+    def unlisted(self, server):
+        self.cases.pop(server, None)
+
+    def joined(self, proxy):
+        self.proxies.append(proxy)
+
+    def left(self, proxy):
+        self.proxies = [other for other in self.proxies if other != proxy]
+
+    # What comes back.
+
+    def reported(self, server, report, at):
+        """A load report, which speaks of the moment `at`; one that is older than what is held is late and
+        says nothing new."""
+        case = self.cases.get(server)
+        if case is not None and (not case.reports or at > case.reports[-1][0]):
+            case.reports.append((at, report))
+
+    def unanswered(self, server):
+        """A host did not even give its report."""
+        self._sign(server, False)
+
+    def tried(self, server, outcome, took, at):
+        """A probe, which is a real exchange, ended: "ok", or why not; after `took`."""
+        case = self.cases.get(server)
+        if case is not None:
+            case.out = max(0, case.out - 1)
+            case.probes.append((at, outcome == "ok", took))
+            self._sign(server, outcome == "ok")
+
+    def _sign(self, server, good):
+        case = self.cases.get(server)
+        if case is None:
+            return
+        case.good = case.good + 1 if good else 0
+        case.suspect = not good or case.suspect and case.good < REASSURED
+
+    # Whom to ask.
+
+    def due(self, now):
+        """The hosts to try now, suspects first, then who was tried longest ago; within the budget."""
+        self.spent = max(0.0, self.spent - (now - self.budget_at) * self.rate / SECOND)
+        self.budget_at = now
+        out = sum(case.out for case in self.cases.values())
+        period, wanted = self.stated["report_period"], []
+        for server, case in self.cases.items():
+            # A suspect is tried as often as it takes to be sure within a period; another once in a period.
+            room, every = (CLOSELY, period // CLOSELY) if case.suspect else (1, period)
+            if case.out < room and now - case.tried_at >= every:
+                wanted.append((not case.suspect, case.tried_at, server))
+        chosen = []
+        for _, _, server in sorted(wanted):
+            if out + len(chosen) >= self.at_once or self.spent + 1 > max(1.0, self.rate):
+                break
+            self.spent += 1
+            self.cases[server].out += 1
+            self.cases[server].tried_at = now
+            chosen.append(server)
+        return chosen
+
+    # What the assigner hears.
+
+    def turn(self):
+        """Once a period: what each host met since the last turn, and what relays are taken to bring."""
+        now = self.desk.now()
+        span, since, self.turned_at = now - self.turned_at, self.turned_at, now
+        if span <= 0:
+            return
+        total, by_class, told = 0.0, {}, 0.0
+        for server, case in sorted(self.cases.items()):
+            tries, failed, took = self._met(case, since, span)
+            if tries:
+                self.desk.heard(self.stated["own_zone"], server, tries, failed, took, span, self._load(case))
+            fresh = self._fresh(case, now)
+            if fresh and fresh.completed is not None:
+                total += fresh.completed + fresh.failed
+                for place, rate in fresh.by_class.items():
+                    by_class[place] = by_class.get(place, 0.0) + rate
+                    told += rate
+        self._spread(total, by_class, told, span)
+
+    def _fresh(self, case, now):
+        """A report counts for three periods; older, it tells of another day."""
+        if case.reports and now - case.reports[-1][0] < 3 * self.stated["report_period"]:
+            return case.reports[-1][1]
+        return None
+
+    def _load(self, case):
+        report = case.reports[-1][1] if case.reports else None
+        return report and {"cores_busy": report.cores_busy, "in_hand": report.in_hand,
+                           "work_time": report.work_time}
+
+    def _met(self, case, since, span):
+        """(tries, failed, mean time of good ones) of one host in this period."""
+        probes = [(good, took) for at, good, took in case.probes if at > since]
+        lost = sum(not good for good, _ in probes)
+        good_times = [took for good, took in probes if good]
+        report, done, bad, took = self._fresh(case, self.desk.now()), 0, 0, 0
+        if report is not None and report.completed is not None:
+            done, bad = round(report.completed * span / SECOND), round(report.failed * span / SECOND)
+            if report.completed:
+                took = max(report.work_time, round(report.in_hand / report.completed * SECOND))
+            if lost and not good_times and not done:
+                # It takes exchanges and gives nothing back: what it holds is lost, though it says it is idle.
+                bad += max(round(report.in_hand), 0)
+        elif report is not None:
+            took = report.work_time
+        good = done + len(good_times)
+        if good:
+            took = (took * done + sum(good_times)) // good
+        return good + bad + lost, bad + lost, took if good else 0
+
+    def _spread(self, total, by_class, told, span):
+        """Demand by relay and class. With several planners hosts tell of all relays, this planner's among
+        them, so each relay counts as one of all that the charter states."""
+        everyone = len(self.proxies) if self.stated["instances"] == 1 else max(
+            len(self.proxies), self.stated["proxies"])
+        if not everyone or not total:
+            return
+        places = range(len(self.stated["classes"]))
+        for nth, proxy in enumerate(self.proxies):
+            for place in places:
+                share = by_class.get(place, 0.0) / told if told else 1 / len(places)
+                many = total * share * span / SECOND
+                # Whole exchanges, with the remainder going to the first ones, so that the sum is kept.
+                mine = int(many * (nth + 1) / everyone) - int(many * nth / everyone)
+                self.desk.demand(proxy, place, mine, 0, span)
--- /dev/null
+++ b/indigodeck/planner/service.py
@@ -0,0 +1,316 @@
+"""The planner as a program: feeds the assigner what happens and carries out what it decides, on Tornado.
+
+Here are the clock, the timers, the list's source, probes and reports of hosts, and the fronts. Decisions are in
+choice.py; what waits for whom is in desk.py; which list counts is in roster.py; what hosts' reports mean is in
+evidence.py.
+"""
+import json
+import time
+
+import structlog
+from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.gen import sleep
+from tornado.ioloop import IOLoop, PeriodicCallback
+from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError, SimpleAsyncHTTPClient
+
+from . import roster as lists
+from ..choice import Assigner
+from ..schema import BadDocument
+from .desk import Desk, Door
+from .evidence import Evidence, Report
+
+SECOND = 1_000_000
+RELAYS_MOST = 65535        # numbers of relays are small; one that has been met keeps its number
+REPORT_HEADER = "endpoint-load-metrics"
+LARGEST_LIST = 16 << 20
+
+
+def monotonic():
+    return time.monotonic_ns() // 1000
+
+
+def report_of(header):
+    """A host's load report from the JSON form of an ORCA header: "JSON {..}", or None if it can't be read."""
+    try:
+        kind, _, text = header.strip().partition(" ")
+        given = json.loads(text) if kind == "JSON" else None
+        named = given.get("named_metrics", {})
+        by_class = {name.removeprefix("rps."): float(value) for name, value in named.items()
+                    if name.startswith("rps.")}
+        failed = float(given.get("eps", 0.0))
+        rps = given.get("rps_fractional")
+        return Report(float(given.get("cpu_utilization", 0.0)), float(named.get("inflight", 0.0)),
+                      round(float(named.get("latency_ms", 0.0)) * 1000),
+                      None if rps is None else max(0.0, float(rps) - failed), failed, by_class)
+    except (AttributeError, TypeError, ValueError, OverflowError):
+        return None
+
+
+class Service:
+    """Everything that one planner runs. `make` hosts another policy on the same desk, for baselines."""
+
+    def __init__(self, charter, make=Assigner):
+        self.charter, self.log = charter, structlog.get_logger()
+        self.clock_gap = time.time_ns() // 1000 - monotonic()
+        self.relays, self.servers, self.places = Door(), Door(), {}
+        self.front_of, self.fronts, self.contact, self.numbers_of = {}, [], {}, {}
+        self.roster = lists.Roster(self, self.servers, charter.halls, charter.kinds, self.clock_gap)
+        self.desk = None
+        self.desk = Desk(self, charter.stated, charter.seed, make)
+        reports = charter.reports
+        self.evidence = Evidence(self.desk, charter.stated, reports.get("probes_per_s", 20),
+                                 reports.get("probes_at_once", 16))
+        self.report_path = reports.get("path", "/load")
+        # A probe is a real exchange, so one that may be done twice.
+        safe = [kind["name"] for kind in charter.stated["classes"] if kind["repeats"] == "safe"]
+        self.probe_path = reports.get("probe_path", f"/exchange/{(safe or charter.classes)[0]}")
+        self.patience = min(kind["patience"] for kind in charter.stated["classes"])
+        self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=512, max_body_size=LARGEST_LIST)
+        self.tasks, self.ending, self.last_text, self.asking = [], False, None, False
+        self.seen, self.held_lists = None, set()
+
+    # What the desk may ask of the program.
+
+    def now(self):
+        return monotonic()
+
+    def later(self, after, call):
+        IOLoop.current().call_later(after / SECOND, call)
+
+    def due(self, proxy):
+        front = self.front_of.get(proxy)
+        if front is not None:
+            front.due(proxy)
+
+    def probe(self, server):
+        IOLoop.current().add_callback(self._probe, server, True)
+
+    def ask_list(self, watch):
+        self.ask()
+
+    def note(self, event, **facts):
+        self.log.info(event, **facts)
+
+    # What fronts tell.
+
+    def proxy_number(self, uid):
+        known = uid in self.relays.index_of
+        return self.relays.index(uid) if known or len(self.relays.id_of) < RELAYS_MOST else None
+
+    def joined(self, front, proxy, uid):
+        if proxy in self.front_of:
+            # The newest connection under a name speaks for it, over whichever front.
+            self._leave(proxy)
+        self.front_of[proxy] = front
+        hall, rate = self.charter.relay(uid)
+        self.evidence.joined(proxy)
+        self.note("relay joined", relay=uid, hall=self.charter.halls[hall])
+        self.desk.proxy_joined(proxy, hall, rate, False)
+
+    def left(self, front, proxy):
+        if self.front_of.get(proxy) is front:
+            self._leave(proxy)
+            self.note("relay left", relay=str(self.relays.id_of[proxy], "utf-8", "replace"))
+
+    def _leave(self, proxy):
+        del self.front_of[proxy]
+        self.evidence.left(proxy)
+        self.desk.proxy_left(proxy)
+
+    def server_at(self, where):
+        return self.numbers_of.get(where)
+
+    def address(self, server):
+        return self.places.get(server)
+
+    def in_contact(self, server):
+        """Whether the host has answered of late."""
+        return self.now() - self.contact.get(server, -10 * SECOND) < 3 * self.charter.stated["report_period"]
+
+    def quiesced(self, where, on):
+        return self.roster.quiesced(*where, on)
+
+    # What the list's keeper tells.
+
+    def listed(self, kind, servers):
+        for host in self.roster.hosts.values():
+            number, where = self.servers.index(host["id"]), (host["address"], host["port"])
+            if self.places.get(number) != where:
+                self.places[number] = where
+            # A place may be taken over by a new host; the newest one listed stands for it.
+            self.numbers_of[where] = number
+        if kind != lists.CHANGES:
+            for server in self.evidence.cases.keys() - {server.index for server in servers}:
+                self.evidence.unlisted(server)
+        self.evidence.listed(servers)
+        states = [server.state for server in servers]
+        self.note("listed", kind=kind, version=self.roster.version,
+                  **{state: states.count(state) for state in sorted(set(states))})
+        self.desk.listed(kind, servers)
+        changed = [self.places[server.index] for server in servers if server.index in self.places]
+        for front in self.fronts:
+            front.standing_of(changed)
+
+    def ask(self):
+        if self.charter.roster.get("service") and not self.asking:
+            self.asking = True
+            IOLoop.current().add_callback(self._ask)
+
+    # Where the list comes from.
+
+    def _look(self):
+        """The file, if it has changed."""
+        path = self.charter.folder / self.charter.roster["file"]
+        try:
+            stamp = path.stat()
+            stamp = stamp.st_mtime_ns, stamp.st_size, stamp.st_ino
+            if stamp == self.seen:
+                return
+            text = path.read_text()
+            self.seen = stamp
+            self.roster.whole(lists.read(text))
+        except (OSError, UnicodeDecodeError, BadDocument) as error:
+            # The last good list stays; said once for each text that can't be read.
+            if str(error) != self.last_text:
+                self.last_text = str(error)
+                self.log.warning("list not read", why=str(error))
+
+    async def _ask(self):
+        try:
+            answer = await self.client.fetch(self.charter.roster["service"] + "/roster", request_timeout=2)
+            self.roster.whole(lists.read(answer.body))
+        except (OSError, UnicodeDecodeError, BadDocument, HTTPClientError) as error:
+            self.log.warning("list not read", why=str(error))
+            self.desk.list_failed()
+        finally:
+            self.asking = False
+
+    async def _follow(self):
+        """Changes as the service pushes them, a line each; begun again, later each time, when that breaks."""
+        pause = 0.2
+        while not self.ending:
+            rest, good = bytearray(), False
+
+            def line_in(chunk):
+                nonlocal good
+                rest.extend(chunk)
+                if len(rest) > LARGEST_LIST:
+                    raise BadDocument(f"roster: a line of over {LARGEST_LIST} bytes")
+                *lines, last = bytes(rest).split(b"\n")
+                rest[:] = last
+                for line in filter(None, lines):
+                    good = True
+                    document = lists.read(line)
+                    (self.roster.changes if document.get("kind") == "changes" else self.roster.whole)(document)
+
+            try:
+                await self.client.fetch(HTTPRequest(self.charter.roster["service"] + "/watch", streaming_callback=line_in,
+                                                    request_timeout=0, connect_timeout=2))
+            except (OSError, UnicodeDecodeError, BadDocument, HTTPClientError) as error:
+                self.log.warning("list not followed", why=str(error))
+            pause = 0.2 if good else min(5.0, pause * 2)
+            await sleep(pause * (0.5 + self.desk.assigner.chance.below(1000) / 1000))
+
+    # What hosts answer.
+
+    async def _probe(self, server, asked):
+        """One real exchange, sent by the planner itself."""
+        where, begun = self.places.get(server), self.now()
+        if where is None:
+            outcome, header = "unreachable", None
+        else:
+            outcome, header = await self._fetch(where, self.probe_path, self.patience / SECOND)
+        now = self.now()
+        if outcome in ("ok", "error", "full"):
+            self.contact[server] = now
+        self._reported(server, header, now)
+        if asked:
+            self.desk.probed(server, outcome, now - begun, None)
+        else:
+            self.evidence.tried(server, outcome, now - begun, now)
+
+    async def _load(self, server):
+        """The host's report, asked beside its exchanges."""
+        where = self.places.get(server)
+        if where is None:
+            return
+        outcome, header = await self._fetch(where, self.report_path, self.charter.stated["report_period"] / SECOND)
+        if outcome == "ok" and self._reported(server, header, self.now()):
+            self.contact[server] = self.now()
+        else:
+            self.evidence.unanswered(server)
+
+    def _reported(self, server, header, at):
+        report = report_of(header) if header else None
+        if report is not None:
+            places = {name: place for place, name in enumerate(self.charter.classes)}
+            by_class = {places[name]: rate for name, rate in report.by_class.items() if name in places}
+            self.evidence.reported(server, report._replace(by_class=by_class), at)
+        return report is not None
+
+    async def _fetch(self, where, path, patience):
+        """(outcome, report header) of one HTTP exchange."""
+        address = f"[{where[0]}]" if ":" in where[0] else where[0]
+        request = HTTPRequest(f"http://{address}:{where[1]}{path}", connect_timeout=min(patience, 1.0),
+                              request_timeout=patience, headers={"Relay": "planner"})
+        try:
+            answer = await self.client.fetch(request, raise_error=False)
+        except HTTPTimeoutError:
+            return "silent", None
+        except HTTPStreamClosedError:
+            return "broken", None
+        except (OSError, HTTPClientError):
+            return "unreachable", None
+        if answer.error is not None and answer.code == 599:
+            late = isinstance(answer.error, HTTPTimeoutError)
+            return ("silent" if late else "broken" if isinstance(answer.error, HTTPStreamClosedError)
+                    else "unreachable"), None
+        outcome = "ok" if answer.code < 400 else "full" if answer.code == 503 else "error"
+        return outcome, answer.headers.get(REPORT_HEADER)
+
+    # Its life.
+
+    def _period(self):
+        self.evidence.turn()
+        servers = sorted(self.evidence.cases)
+        period = self.charter.stated["report_period"] / SECOND
+        for nth, server in enumerate(servers):
+            # Spread over half of the period, so that answers don't all come at once.
+            IOLoop.current().call_later(period * nth / (2 * len(servers)), self._spawn, self._load, server)
+
+    def _try(self):
+        for server in self.evidence.due(self.now()):
+            self._spawn(self._probe, server, False)
+
+    @staticmethod
+    def _spawn(call, *given):
+        IOLoop.current().add_callback(call, *given)
+
+    def start(self):
+        if "file" in self.charter.roster:
+            self._look()
+            self.tasks.append(PeriodicCallback(self._look, self.charter.roster.get("look_every_ms", 200)))
+        elif self.charter.roster.get("asked"):
+            self.ask()
+        else:
+            IOLoop.current().add_callback(self._follow)
+        self.tasks.append(PeriodicCallback(self._period, self.charter.stated["report_period"] / 1000))
+        if self.evidence.rate and self.evidence.at_once:
+            self.tasks.append(PeriodicCallback(self._try, 50))
+        for task in self.tasks:
+            task.start()
+
+    def open(self, front, name, port, address):
+        """Opens a front's sockets; one line says where."""
+        front.listen(port, address)
+        self.fronts.append(front)
+        self.log.info("listening", front=name, port=front.port())
+        return front.port()
+
+    def cease(self):
+        self.ending = True
+        for task in self.tasks:
+            task.stop()
+        for front in self.fronts:
+            front.cease()
+        self.client.close()
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -105,6 +105,16 @@
         rig.run(8, lambda rig: rig.report())
         self.assertTrue(all(lines.get(12) for lines in rig.tables.values()))
 
+    def test_cold_server_waits_while_proxies_that_step_away_lose_many_tries(self):
+        # Day ha35910: reports came late, the median server was well, and cold ones got what others had lost.
+        for strikes, weight in ((0, True), (3, False)):
+            rig = Rig(charter(strikes=strikes))
+            rig.start(fleet())
+            rig.run(6, lambda rig: rig.report(failed=lambda index: 4 if index % 2 else 1))
+            rig.change(server(12, started=rig.clock))
+            rig.run(3, lambda rig: rig.report(failed=lambda index: 4 if index % 2 else 1))
+            self.assertEqual(any(lines.get(12) for lines in rig.tables.values()), weight)
+
     def test_messages_stay_under_the_limit(self):
         rig = Rig(charter(messages_most=8))
         rig.start(fleet())
