--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# On a fresh machine: `make day` sets up and plays the scripted bad day, `make test` sets up and tests.
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+READY := $(VENV)/.ready-$(shell cat requirements.txt pyproject.toml | cksum | cut -d' ' -f1)
+
+.PHONY: day test setup
+
+day: setup
+	$(PYTHON) -m indigodeck day examples/bad-day.json --against equal --against frozen
+
+test: setup
+	$(PYTHON) -m unittest discover -s tests
+
+setup: $(READY)
+
+$(READY):
+	test -d $(VENV) || python3 -m venv $(VENV)
+	$(VENV)/bin/pip -q install -r requirements.txt
+	$(VENV)/bin/pip -q install --no-deps -e .
+	rm -f $(VENV)/.ready-*
+	touch $@
--- /dev/null
+++ b/indigodeck/cli.py
@@ -0,0 +1,219 @@
+"""The command `indigodeck`. Exit codes: 0 done; 1 something was found wrong (a rule broken, a document with faults);
+2 called wrongly, or a document that can't be read; 3 nothing could be reached."""
+import asyncio
+import json
+import pathlib
+import sys
+import time
+
+import click
+import structlog
+
+from .schema import BadDocument
+
+FOUND, WRONG, UNREACHED = 1, 2, 3
+
+
+def log_as(form):
+    """JSON lines on standard output for programs, coloured lines on standard error for people."""
+    shape = structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer(
+        colors=sys.stderr.isatty())
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"), shape],
+        logger_factory=structlog.PrintLoggerFactory(sys.stdout if form == "json" else sys.stderr))
+
+
+def fail(text, code=WRONG):
+    click.echo(text, err=True)
+    sys.exit(code)
+
+
+@click.group()
+@click.version_option(package_name="indigodeck")
+def main():
+    """Tells relays which hosts serve which class of exchanges."""
+
+
+@main.command()
+@click.option("--charter", "path", required=True, type=click.Path(dir_okay=False), help="What the planner is told at start (JSON).")
+@click.option("--log", "form", default="json", type=click.Choice(["json", "people"]), show_default=True)
+@click.option("--policy", default="indigodeck", hidden=True)
+def serve(path, form, policy):
+    """Run a planner until it is told to end."""
+    from .choice import Assigner
+    from .planner.charter import read
+    from .serve import serve as run
+    log_as(form)
+    make = Assigner
+    if policy != "indigodeck":
+        from .standins.baselines import BASELINES
+        make = BASELINES[policy]
+    try:
+        charter = read(path)
+        asyncio.run(run(charter, make))
+    except BadDocument as error:
+        fail(str(error))
+    except OSError as error:
+        fail(f"{path}: {error}", UNREACHED)
+
+
+@main.command()
+@click.argument("path", type=click.Path(dir_okay=False))
+@click.option("--against", multiple=True, type=click.Choice(["equal", "frozen"]), help="Play a baseline beside it.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keep receipts, outcomes and logs in this folder.")
+@click.option("--format", "shape", default="people", type=click.Choice(["people", "json"]))
+@click.option("--bench-troubles", type=click.Path(dir_okay=False), help="Troubles as found in a bench day, in place of the script's own.")
+def day(path, against, keep, shape, bench_troubles):
+    """Play a scripted day on loopback and judge it by its sockets."""
+    from .standins import day as days
+    script = document(path)
+    if bench_troubles:
+        script["troubles"], left = days.from_bench(document(bench_troubles))
+        if left:
+            click.echo(f"no counterpart on sockets: {', '.join(left)}", err=True)
+    against_it = days.check(script)
+    if against_it:
+        fail("\n".join(f"{path}: {line}" for line in against_it))
+    began = time.monotonic()
+    results = asyncio.run(days.run(script, ("indigodeck", *against), keep, lambda text: click.echo(
+        f"{time.monotonic() - began:6.1f} s  {text}", err=True)))
+    click.echo(json.dumps(results) if shape == "json" else "\n".join(days.printed(result) for result in results))
+    if not all(rule["kept"] for rule in results[0]["rules"]):
+        sys.exit(FOUND)
+
+
+def document(path):
+    try:
+        return json.loads(pathlib.Path(path).read_text())
+    except (OSError, ValueError) as error:
+        fail(f"{path}: {error}")
+
+
+@main.command()
+@click.argument("paths", nargs=-1, required=True, type=click.Path(dir_okay=False))
+def check(paths):
+    """Check charters, scripts and rosters against their schemas."""
+    from .planner import charter, roster
+    from .standins import day as days
+    found = False
+    for path in paths:
+        given = document(path)
+        if "hosts" in given and isinstance(given["hosts"], list):
+            kind, against = "roster", _against(lambda: roster.read(json.dumps(given)))
+        elif "relays" in given and "seconds" in given:
+            kind, against = "script", days.check(given)
+        else:
+            kind, against = "charter", _against(lambda: charter.read(path))
+        found = found or bool(against)
+        click.echo("\n".join(f"{path}: {line}" for line in against) if against else f"{path}: a {kind}, nothing wrong")
+    sys.exit(FOUND if found else 0)
+
+
+def _against(read):
+    try:
+        read()
+    except BadDocument as error:
+        return str(error).splitlines()
+    return []
+
+
+@main.command()
+@click.argument("planner")
+@click.option("--class", "names", multiple=True, required=True, help="A class of exchanges; may be given again.")
+@click.option("--uid", default="indigodeck-weights", show_default=True, help="The relay to ask as.")
+@click.option("--wait", default=3.0, show_default=True, help="Seconds to wait for tables.")
+@click.option("--format", "shape", default="people", type=click.Choice(["people", "json"]))
+def weights(planner, names, uid, wait, shape):
+    """Ask a running planner (ADDRESS:PORT) for the tables of classes, over SASP."""
+    from .client import Tables, Unreachable
+    from .client.sasp import SaspClient
+    address, _, port = planner.rpartition(":")
+    if not port.isdigit():
+        fail(f"{planner}: not ADDRESS:PORT")
+    losses = []
+
+    async def ask():
+        tables = Tables(names, lambda: time.monotonic_ns() // 1000)
+        client = SaspClient(uid, [(address.strip("[]") or "127.0.0.1", int(port))], tables, failed=losses.append)
+        task = asyncio.get_running_loop().create_task(client.run())
+        until = time.monotonic() + wait
+        while time.monotonic() < until and not all(tables.lines.values()) and not losses:
+            await asyncio.sleep(0.05)
+        client.leave()
+        task.cancel()
+        return {name: tables.shares(name) for name in names if tables.lines[name]}
+
+    shares = asyncio.run(ask())
+    if losses:
+        fail(f"{planner}: {losses[0]}", UNREACHED if isinstance(losses[0], Unreachable) else FOUND)
+    if shape == "json":
+        click.echo(json.dumps({name: {f"{a}:{p}": round(part, 6) for (a, p), part in sorted(lines.items())}
+                               for name, lines in shares.items()}))
+    else:
+        for name in names:
+            click.echo(name if name in shares else f"{name}: no table")
+            for (host, at), part in sorted(shares.get(name, {}).items(), key=lambda line: -line[1]):
+                click.echo(f"  {host + ':' + str(at):24} {part:7.2%}  {'#' * round(part * 40)}")
+    if len(shares) < len(names):
+        sys.exit(FOUND)
+
+
+@main.group()
+def standin():
+    """Stand-ins, one kind a process; they obey JSON lines on standard input."""
+
+
+async def _obey(command):
+    """Commands from standard input until it ends, each answered on standard output."""
+    loop, reader = asyncio.get_running_loop(), asyncio.StreamReader(limit=1 << 24)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    while line := await reader.readline():
+        try:
+            answer = await command(json.loads(line))
+        except Exception as error:      # said to who commands; the others go on
+            answer = {"error": f"{type(error).__name__}: {error}"}
+        click.echo(json.dumps(answer))
+
+
+def _clock():
+    return time.monotonic_ns() // 1000
+
+
+@standin.command()
+@click.option("--receipts", required=True, type=click.Path(dir_okay=False))
+@click.option("--work", default="{}", help="Core time of an exchange by class, in microseconds (JSON).")
+def host(receipts, work):
+    """Hosts over HTTP: {"do": "start", "host": "h1", "cores": 4, "slots": 8, "room": 64}."""
+    from .standins.host import Yard
+    with open(receipts, "w", buffering=1) as file:
+        asyncio.run(_obey(Yard(_clock, file, json.loads(work)).command))
+
+
+@standin.command()
+@click.option("--outcomes", required=True, type=click.Path(dir_okay=False))
+def relay(outcomes):
+    """Relays with their clients: {"do": "start", "until": .., "relay": {..}}."""
+    from .standins.relay import Depot
+    with open(outcomes, "w", buffering=1) as file:
+        asyncio.run(_obey(Depot(_clock, file).command))
+
+
+@standin.command()
+@click.option("--port", default=0, show_default=True)
+@click.option("--late-ms", default=0.0, show_default=True)
+@click.argument("path", type=click.Path(dir_okay=False))
+def roster(port, late_ms, path):
+    """The list's keeper, with the list in a file to begin with: {"do": "set", "hosts": [..]}."""
+    from .standins.keeper import Keeper
+
+    async def keep():
+        keeper = Keeper(late=round(late_ms * 1000))
+        click.echo(json.dumps({"port": keeper.listen(port)}))
+        keeper.say(document(path)["hosts"])
+
+        async def command(line):
+            for entry in line.get("hosts", []):
+                keeper.set(entry)
+            return {"version": keeper.version}
+        await _obey(command)
+    asyncio.run(keep())
