--- a/indigodeck/planner/evidence.py
+++ b/indigodeck/planner/evidence.py
@@ -16,11 +16,16 @@
 came back, and calls `turn` once a period.
 """
 from collections import deque
+from itertools import zip_longest
 from typing import NamedTuple
 
 SECOND = 1_000_000
-# A host is tried more closely from its first bad sign until it has shown so many good ones in a row.
-CLOSELY, REASSURED = 8, 4
+# A host is tried more closely from its first bad sign until it has shown so many good ones in a row: so often in a
+# period that one period suffices for the assigner, which judges nobody by fewer than eight tries.
+CLOSELY, REASSURED = 12, 4
+# It judges by the median of servers heard of so often, too: in an idle fleet a suspect alone would be its own median, so
+# some that answer are tried as closely.
+WITNESSES = 2
 
 
 class Report(NamedTuple):
@@ -100,18 +105,21 @@
     # Whom to ask.
 
     def due(self, now):
-        """The hosts to try now, suspects first, then who was tried longest ago; within the budget."""
+        """The hosts to try now, suspects and others by turns, who was tried longest ago first; within the budget."""
         self.spent = max(0.0, self.spent - (now - self.budget_at) * self.rate / SECOND)
         self.budget_at = now
         out = sum(case.out for case in self.cases.values())
-        period, wanted = self.stated["report_period"], []
+        period, suspects, others = self.stated["report_period"], [], []
+        doubted = any(case.suspect for case in self.cases.values())
+        well = sorted(server for server, case in self.cases.items() if case.good) if doubted else []
         for server, case in self.cases.items():
-            # A suspect is tried as often as it takes to be sure within a period; another once in a period.
-            room, every = (CLOSELY, period // CLOSELY) if case.suspect else (1, period)
-            if case.out < room and now - case.tried_at >= every:
-                wanted.append((not case.suspect, case.tried_at, server))
+            closely = case.suspect or server in well[:WITNESSES]
+            if now - case.tried_at >= (period // CLOSELY if closely else period) and (closely or not case.out):
+                (suspects if case.suspect else others).append((case.tried_at, server))
+        # By turns: a fleet full of suspects must not keep the others from being tried at all.
+        wanted = [pick for pair in zip_longest(sorted(suspects), sorted(others)) for pick in pair if pick]
         chosen = []
-        for _, _, server in sorted(wanted):
+        for _, server in wanted:
             if out + len(chosen) >= self.at_once or self.spent + 1 > max(1.0, self.rate):
                 break
             self.spent += 1
--- a/indigodeck/standins/relay.py
+++ b/indigodeck/standins/relay.py
@@ -129,7 +129,16 @@
     """Relays in one process; told to start, to break a stream and to end."""
 
     def __init__(self, now, outcomes):
-        self.now, self.outcomes, self.relays = now, outcomes, {}
+        self.now, self.outcomes, self.relays, self.lost = now, outcomes, {}, []
+
+    def _watch(self, relay):
+        before = {name: set(lines) for name, lines in relay.tables.lines.items()}
+
+        def changed(name):
+            lines = relay.tables.lines[name]
+            self.lost += [(self.now(), port) for _, port in before[name] - lines.keys()]
+            before[name] = set(lines)
+        return changed
 
     def write(self, outcome):
         self.outcomes.write(json.dumps(outcome, separators=(",", ":")) + "\n")
@@ -144,6 +153,13 @@
         elif do == "tables":
             return {uid: {name: [[*where, weight] for where, weight in sorted(lines.items())]
                           for name, lines in relay.tables.lines.items()} for uid, relay in self.relays.items()}
+        elif do == "changes":
+            # Since the last such command: when each relay's tables lost a server, by its port.
+            lost, self.lost = self.lost, []
+            for relay in self.relays.values():
+                if relay.tables.changed is None:
+                    relay.tables.changed = self._watch(relay)
+            return {"lost": lost}
         elif do == "leave":
             for relay in self.relays.values():
                 relay.wire.leave()
