--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -328,31 +328,23 @@
 
 
 class Days(unittest.TestCase):
-    def play(self, seconds, troubles, **relays):
-        script = json.loads(json.dumps(EXAMPLE))
-        script.update(seconds=seconds, troubles=troubles)
-        script["hosts"]["many"], script["charter"]["rules"]["cold_ms"] = 12, 4000
-        script["relays"].update({"many": 6, "rate": 60}, **relays)
+    def play(self, script):
         self.assertEqual(day.check(script), [])
         result, = asyncio.run(day.run(script))
         return result, [rule["rule"] for rule in result["rules"] if not rule["kept"]]
 
     def test_drains_amid_joins_cold_hosts_and_a_planner_killed_between_waves(self):
         # The kind of trouble of day h8334b8: relays near their message limit while others' drains are due.
-        result, broken = self.play(18, [
-            {"at": 1, "kind": "deploy", "part": 0.7, "size": 0.34, "seconds": 9},
-            {"at": 2, "kind": "relays_join", "size": 2, "seconds": 5},
-            {"at": 5, "kind": "planner_killed", "size": 0.5},
-            {"at": 7, "kind": "relays_join", "size": 1, "seconds": 2},
-            {"at": 8, "kind": "relay_deaf", "part": 0.2, "seconds": 3},
-            {"at": 11, "kind": "planner_stalled", "seconds": 1}])
+        result, broken = self.play(json.loads((ROOT / "examples/drains-day.json").read_text()))
         self.assertEqual(broken, [], day.printed(result))
         self.assertGreater(result["service"]["whole"], 0.8, day.printed(result))
 
     def test_relays_that_ignore_drains_and_repeat_effects_are_called(self):
-        result, broken = self.play(12, [{"at": 1, "kind": "shrink", "part": 0.5, "size": 1.0, "seconds": 1},
-                                        {"at": 2, "kind": "errors", "part": 0.5, "size": 1.0, "seconds": 9}],
-                                   unruly={"hall-a/relay-0": "keeps", "hall-b/relay-1": "repeats"}, retries=0)
+        script = json.loads((ROOT / "examples/drains-day.json").read_text())
+        script.update(seconds=12, troubles=[{"at": 1, "kind": "shrink", "part": 0.5, "size": 1.0, "seconds": 1},
+                                            {"at": 2, "kind": "errors", "part": 0.5, "size": 1.0, "seconds": 9}])
+        script["relays"].update(unruly={"hall-a/relay-0": "keeps", "hall-b/relay-1": "repeats"}, retries=0)
+        result, broken = self.play(script)
         self.assertEqual(broken, ["no effect twice", "drains kept"], day.printed(result))
         self.assertEqual({case["who"] for rule in result["rules"] for case in rule["cases"]},
                          {"hall-a/relay-0", "hall-b/relay-1"})
