--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -339,6 +339,13 @@
         self.assertEqual(broken, [], day.printed(result))
         self.assertGreater(result["service"]["whole"], 0.8, day.printed(result))
 
+    def test_a_whole_hall_is_cold_and_the_planner_starts_in_the_middle_of_it(self):
+        script = json.loads((ROOT / "examples/drains-day.json").read_text())
+        script.update(seconds=10, troubles=[{"at": 1, "kind": "deploy", "hall": "hall-b", "part": 1.0, "size": 1.0, "seconds": 1},
+                                            {"at": 2.5, "kind": "planner_killed", "size": 0.2}])
+        result, broken = self.play(script)
+        self.assertEqual(broken, [], day.printed(result))
+
     def test_relays_that_ignore_drains_and_repeat_effects_are_called(self):
         script = json.loads((ROOT / "examples/drains-day.json").read_text())
         script.update(seconds=12, troubles=[{"at": 1, "kind": "shrink", "part": 0.5, "size": 1.0, "seconds": 1},
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -202,6 +202,8 @@
             clerk.run(0.5)
         self.assertEqual(sum(wire.closed is None for wire in wires), 3)
         self.assertEqual(len(clerk.desk.holdings), 1)
+        clerk.note("what a replaced connection still asks is not answered for the relay")
+        wires[0].ask(codec.get_weights(9, [(b"r1", b"read")]))
         clerk.run(11)
         late = Wire(clerk)
         late.ask(*hello())
