--- a/indigodeck/cli.py
+++ b/indigodeck/cli.py
@@ -198,6 +198,19 @@
         asyncio.run(_obey(Depot(_clock, file).command))
 
 
+@standin.command()
+@click.option("--planner", required=True, help="ADDRESS:PORT of a planner's xDS front.")
+@click.option("--uid", required=True)
+@click.option("--hall", default="")
+@click.option("--class", "names", multiple=True, required=True)
+@click.option("--rate", default=50.0, show_default=True)
+@click.option("--seconds", default=10.0, show_default=True)
+def stock(planner, uid, hall, names, rate, seconds):
+    """The stock gRPC client as a relay; writes an outcome for each exchange as a JSON line."""
+    from .standins.stock import drive
+    asyncio.run(drive(planner, uid, hall, names, rate, seconds, lambda line: click.echo(json.dumps(line)), _clock))
+
+
 @standin.command()
 @click.option("--port", default=0, show_default=True)
 @click.option("--late-ms", default=0.0, show_default=True)
--- a/indigodeck/client/tables.py
+++ b/indigodeck/client/tables.py
@@ -39,6 +39,7 @@
         self.held_since = dict.fromkeys(classes)       # None: what it started with
         self.passes, self.level, self.out = {name: {} for name in classes}, dict.fromkeys(classes, 0.0), set()
         self.confirmed = set()      # classes whose table this connection has given
+        self.let_in, self.versions = dict.fromkeys(classes, 1.0), {}
 
     def opened(self):
         """A new connection: what it first says of a class stands for the whole of its table."""
@@ -73,6 +74,14 @@
         if self.changed:
             self.changed(name)
 
+    def level_set(self, name, part):
+        """How much of a class is let in, where a protocol can say so: `admits` refuses the rest, at once."""
+        self.let_in[name] = part
+
+    def admits(self, name, point):
+        """Whether an exchange of this class is let in; `point`: its own place between 0 and 1, drawn or hashed."""
+        return point < self.let_in[name]
+
     def shares(self, name):
         """{(address, port): part of the class's exchanges}"""
         total = sum(self.lines[name].values())
--- a/indigodeck/fronts/sasp/conversation.py
+++ b/indigodeck/fronts/sasp/conversation.py
@@ -9,22 +9,12 @@
                     DEREGISTERED, DONE, DUPLICATE_GROUP, DUPLICATE_MEMBER, GROUP_NAME_SIZE, INVALID_GROUP,
                     MEMBERS_SET, NOT_ACCEPTED, NOT_REGISTERED, QUIESCED, REGISTERED, UNKNOWN_BALANCER, UNKNOWN_GROUP,
                     Entry, Malformed, Member)
+from ...planner.weights import scaled
 
 QUARREL = 3        # times that one id may be taken over within the span that messages are counted in
 NEUTRAL = 1        # the weight of a member of which nothing is known: the same for all
 
 
-def scaled(lines):
-    """A table's weights as 16 bits: a power of two times each, so that one change leaves the others as they
-    were told; none that is listed comes to 0. {server: float} to {server: 1 to 65535}"""
-    most, factor = max(lines.values(), default=0.0), 1.0
-    while 0 < most * factor * 2 <= codec.MOST_WEIGHT:
-        factor *= 2
-    while most * factor > codec.MOST_WEIGHT:
-        factor /= 2
-    return {server: max(1, round(weight * factor)) for server, weight in lines.items()}
-
-
 class Group:
     """One group of one load balancer: members by (address, port), who registered each, what they say."""
 
--- a/indigodeck/fronts/sasp/server.py
+++ b/indigodeck/fronts/sasp/server.py
@@ -13,7 +13,6 @@
 
 from . import codec
 from .conversation import Conversation, Office
-from ...planner.allowance import Allowance
 
 SECOND = 1_000_000
 
@@ -142,7 +141,7 @@
     def __init__(self, service, charter):
         super().__init__(max_buffer_size=2 * charter.fronts["sasp"].get("message_bytes", 1 << 20))
         stated = charter.fronts["sasp"]
-        self.service, self.desk, self.channel = service, service.desk, charter.channel
+        self.service, self.desk = service, service.desk
         bounds = codec.Bounds(stated.get("message_bytes", 1 << 20), stated.get("groups", 64),
                               stated.get("members", 1024))
         self.span = charter.stated["messages_span"]
@@ -150,7 +149,7 @@
         self.connections = stated.get("connections", 4096)
         self.message_time = stated.get("message_ms", 5000) / 1000
         self.deaf_time = stated.get("deaf_ms", 60_000) / 1000
-        self.lines, self.allowances, self.uids = set(), {}, {}
+        self.lines, self.uids = set(), {}
 
     def now(self):
         return self.service.now()
@@ -175,15 +174,13 @@
             self.lines.discard(line)
 
     def allowance(self, who):
-        """One account for each relay, kept over its connections for as long as what was written counts."""
-        found = self.allowances.get(who)
-        if found is None:
-            for name in [name for name, held in self.allowances.items() if held.idle(self.now())]:
-                del self.allowances[name]
-            found = self.allowances[who] = Allowance(
-                self.channel["messages_most"], self.span, self.channel["answers_most"],
-                self.service.charter.stated["way_longest"])
-        return found
+        return self.service.allowance(who)
+
+    def replaced(self, proxy):
+        """The relay speaks through another front now."""
+        conversation = self.office.balancers.get(self.uids.get(proxy))
+        if conversation is not None:
+            conversation.replaced()
 
     def due(self, proxy):
         conversation = self.office.balancers.get(self.uids.get(proxy))
--- /dev/null
+++ b/indigodeck/fronts/xds/server.py
@@ -0,0 +1,178 @@
+"""The xDS front's server, on grpcio's asyncio loop: aggregated discovery in both forms, and load reports."""
+import asyncio
+
+import grpc
+from envoy.service.discovery.v3 import ads_pb2_grpc
+from envoy.service.load_stats.v3 import lrs_pb2_grpc
+
+from . import codec, streams
+from ...planner.weights import scaled
+
+SECOND = 1_000_000
+
+
+class Line:
+    """One discovery stream: reads requests as they come, writes responses one at a time as they may be written."""
+
+    def __init__(self, front, context, delta):
+        self.front, self.context, self.delta = front, context, delta
+        self.relay = self.stream = None
+        self.wanted, self.outbox, self.task = asyncio.Event(), None, asyncio.current_task()
+
+    # What the stream may do.
+
+    def send(self, kind, version, nonce, resources, removed):
+        self.outbox = (codec.changes(kind, version, nonce, resources, removed) if self.delta
+                       else codec.whole(kind, version, nonce, resources))
+
+    def due(self):
+        self.wanted.set()
+
+    async def run(self):
+        writer = None
+        try:
+            while (request := await self.context.read()) is not grpc.aio.EOF:
+                if self.stream is None:
+                    self.relay = self.front.introduced(request.node)
+                    self.stream = self.relay.opened(self, self.delta)
+                    writer = asyncio.get_running_loop().create_task(self._write())
+                error = request.error_detail.message or "refused without a reason" if request.HasField(
+                    "error_detail") else None
+                if self.delta:
+                    self.stream.asked_changes(request.type_url, request.resource_names_subscribe,
+                                              request.resource_names_unsubscribe, dict(request.initial_resource_versions),
+                                              request.response_nonce, error)
+                else:
+                    self.stream.asked_whole(request.type_url, request.resource_names, request.response_nonce, error)
+                # A flood of requests from one relay gives way to the others after each.
+                await asyncio.sleep(0)
+        except streams.TooMuch as error:
+            self.front.note("refused", peer=self.relay.uid if self.relay else None, why=str(error))
+            await self.context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED, str(error))
+        finally:
+            if writer is not None:
+                writer.cancel()
+            if self.stream is not None:
+                self.front.closed(self.relay, self.stream)
+
+    async def _write(self):
+        while True:
+            await self.wanted.wait()
+            self.wanted.clear()
+            self.relay.take()
+            while True:
+                allowance = self.front.service.allowance(self.relay.uid)
+                while wait := allowance.order_in(self.front.service.now()):
+                    await asyncio.sleep(wait / SECOND)
+                self.relay.take()       # the newest, after whatever it waited for
+                kind = self.stream.news()
+                if kind is None:
+                    break
+                # What answers a subscription is told apart from orders: only endpoints change by themselves.
+                allowance.wrote(self.front.service.now(), answer=kind != codec.ENDPOINTS)
+                answer, self.outbox = self.outbox, None
+                await self.context.write(answer)
+
+
+class XdsFront(ads_pb2_grpc.AggregatedDiscoveryServiceServicer, lrs_pb2_grpc.LoadReportingServiceServicer):
+    """`service`: the program around (planner/service.py)."""
+
+    def __init__(self, service, charter):
+        stated = charter.fronts["xds"]
+        self.service, self.desk, self.charter = service, service.desk, charter
+        self.bounds = streams.Bounds(stated.get("names", 256), stated.get("streams", 16))
+        self.most = stated.get("relays", 4096)
+        self.shelf = streams.Shelf(self.desk, self, {name: place for place, name in enumerate(charter.classes)}, scaled)
+        self.known, self.relays = {}, {}       # by id; by proxy
+        keep = round(stated.get("keepalive_ms", 10_000))
+        self.server = grpc.aio.server(options=[
+            ("grpc.max_receive_message_length", stated.get("message_bytes", 1 << 20)),
+            ("grpc.keepalive_time_ms", keep), ("grpc.keepalive_timeout_ms", keep), ("grpc.so_reuseport", 0),
+            ("grpc.http2.min_ping_interval_without_data_ms", 1000), ("grpc.keepalive_permit_without_calls", 1)])
+        ads_pb2_grpc.add_AggregatedDiscoveryServiceServicer_to_server(self, self.server)
+        lrs_pb2_grpc.add_LoadReportingServiceServicer_to_server(self, self.server)
+        self.bound, self.reports_read = None, 0
+
+    def listen(self, port, address):
+        self.bound = self.server.add_insecure_port(f"{address}:{port}")
+        asyncio.get_running_loop().create_task(self.server.start())
+
+    def port(self):
+        return self.bound
+
+    def cease(self):
+        asyncio.get_running_loop().create_task(self.server.stop(0))
+
+    # Discovery.
+
+    async def StreamAggregatedResources(self, requests, context):
+        await Line(self, context, False).run()
+
+    async def DeltaAggregatedResources(self, requests, context):
+        await Line(self, context, True).run()
+
+    def introduced(self, node):
+        uid, hall = codec.place_of(node, self.charter.halls)
+        relay = self.known.get(uid)
+        if relay is not None and self.relays.get(relay.proxy) is relay:
+            return relay
+        if not uid or len(uid) > 255:
+            raise streams.TooMuch("a node needs an id of 1 to 255 characters")
+        proxy = self.service.proxy_number(uid.encode()) if len(self.known) < self.most else None
+        if proxy is None:
+            raise streams.TooMuch("too many relays")
+        relay = self.known[uid] = self.relays[proxy] = streams.Relay(uid, proxy, self.shelf, self.desk, self, self.bounds)
+        self.service.joined(self, proxy, uid, hall)
+        return relay
+
+    def closed(self, relay, stream):
+        relay.closed(stream)
+        if not relay.streams and self.relays.get(relay.proxy) is relay:
+            del self.relays[relay.proxy], self.known[relay.uid]
+            self.service.left(self, relay.proxy)
+
+    def replaced(self, proxy):
+        """The relay speaks through another front now: its streams here are told nothing more."""
+        relay = self.relays.pop(proxy, None)
+        if relay is not None:
+            self.known.pop(relay.uid, None)
+            for stream in relay.streams:
+                stream.line.task.cancel()
+
+    # Load reports.
+
+    async def StreamLoadStats(self, requests, context):
+        mine, relay, places = object(), None, self.shelf.classes
+        try:
+            while (request := await context.read()) is not grpc.aio.EOF:
+                if relay is None:
+                    # A relay may open this before any discovery stream; its reports count from when it has joined.
+                    uid = request.node.id
+                    await context.write(codec.asking_reports(self.charter.stated["report_period"]))
+                    relay = uid
+                known = self.known.get(relay)
+                for name, span, refused, met in codec.reports_in(request):
+                    if known is not None and name in places:
+                        self.reports_read += self.service.told(
+                            known.proxy, places[name], span,
+                            [(host, max(issued, good + failed), failed, took) for host, _, issued, good, failed, took in met],
+                            refused, mine)
+                await asyncio.sleep(0)
+        finally:
+            self.service.sums.stream_ended(mine)
+
+    # What the service and streams ask.
+
+    def due(self, proxy):
+        relay = self.relays.get(proxy)
+        if relay is not None:
+            relay.due()
+
+    def standing_of(self, places):
+        """Nothing is told but by tables and withdrawals, which the desk tells of."""
+
+    def host(self, server):
+        return self.service.host(server)
+
+    def note(self, event, **facts):
+        self.service.note(event, front="xds", **facts)
--- a/indigodeck/planner/charter.py
+++ b/indigodeck/planner/charter.py
@@ -74,7 +74,9 @@
             "tip_multiple": rules["tip_multiple"], "tip_time": round(rules["tip_ms"] * TIME),
             "gone_binds": rules.get("gone_binds", True),
             "probes": self.reports.get("probes_per_s", 20) > 0, "list_asked": self.roster.get("asked", False),
-            "slices": 0, "exclusive": False, "settle_time": 0, "levels": "none", "load_columns": [],
+            "slices": 0, "exclusive": False, "settle_time": 0, "load_columns": [],
+            # Levels hold for relays that can be told of them.
+            "levels": "share" if "xds" in self.fronts else "none",
             "classes": [{
                 "name": kind["name"], "agreed_time": round(kind["agreed_time_ms"] * TIME),
                 "patience": round(kind["patience_ms"] * TIME), "credit": kind.get("credit", 1),
--- a/indigodeck/planner/desk.py
+++ b/indigodeck/planner/desk.py
@@ -72,6 +72,7 @@
         self.tables, self.levels, self.withdrawn = {}, {}, set()
         self.holdings, self.servers = {}, {}
         self.reached, self.marked, self.most_waiting = set(), [], 0
+        self.editions, self.withdrawals = {}, 0        # by table; how often what is withdrawn has changed
         self.assigner = None
         self.assigner = make(self, stated, seed)
         self._settle()
@@ -80,6 +81,7 @@
 
     def listed(self, kind, servers):
         self.servers.update((server.index, server) for server in servers)
+        self.withdrawals += 1       # what is told of a withdrawn server goes by the list
         self.assigner.listed(kind, servers)
         self._settle()
 
@@ -173,6 +175,13 @@
         return {server: weight for server, weight in self.tables.get(table, {}).items()
                 if server not in self.withdrawn}
 
+    def edition(self, proxy, place):
+        """What stands for the content of `view` and `level`: equal where these are, for proxies that share a table
+        as well; None while it is bound to none."""
+        holding = self.holdings.get(proxy)
+        table = holding.bound.get(place) if holding else None
+        return None if table is None else (table, self.editions.get(table, 0), self.withdrawals)
+
     def level(self, proxy, place):
         """(part let in, way of further tries) of a proxy's table for a class; (1, 0) where none is set."""
         table = self.holdings[proxy].bound.get(place) if proxy in self.holdings else None
@@ -198,6 +207,7 @@
 
     def _touch(self, table, servers):
         now = self.outside.now()
+        self.editions[table] = self.editions.get(table, 0) + 1
         for proxy, holding, place in self._users(table):
             holding.touch(now, place, servers)
             self.reached.add(proxy)
@@ -226,6 +236,7 @@
 
     def withdraw(self, server, out):
         (self.withdrawn.add if out else self.withdrawn.discard)(server)
+        self.withdrawals += 1
         now = self.outside.now()
         for proxy, holding in self.holdings.items():
             for place in self.places:
--- a/indigodeck/planner/evidence.py
+++ b/indigodeck/planner/evidence.py
@@ -39,6 +39,18 @@
     by_class: dict = {}
 
 
+def report_of(given, named):
+    """A report from the fields of an ORCA load report and its named metrics; what they hold may be of any type."""
+    by_class = {name.removeprefix("rps."): float(value) for name, value in named.items() if name.startswith("rps.")}
+    failed, rps = float(given.get("eps", 0.0)), given.get("rps_fractional")
+    figures = [float(given.get("cpu_utilization", 0.0)), float(named.get("inflight", 0.0)),
+               float(named.get("latency_ms", 0.0)), failed, 0.0 if rps is None else float(rps), *by_class.values()]
+    if not all(0 <= figure < 1e9 for figure in figures):
+        raise ValueError("a figure that can't be")
+    return Report(figures[0], figures[1], round(figures[2] * 1000),
+                  None if rps is None else max(0.0, figures[4] - failed), failed, by_class)
+
+
 class Case:
     """What is known of one host: its last reports and the probes of this period and the last."""
 
@@ -130,8 +142,14 @@
 
     # What the assigner hears.
 
-    def turn(self):
-        """Once a period: what each host met since the last turn, and what relays are taken to bring."""
+    def took(self, server):
+        """How long exchanges lately took at a host, in microseconds, by its report and by probes; 0 if nothing tells."""
+        case = self.cases.get(server)
+        return self._met(case, self.desk.now() - 2 * self.stated["report_period"], SECOND)[2] if case else 0
+
+    def turn(self, heard=(), tells=lambda proxy: False):
+        """Once a period: what each host met since the last turn, and what relays are taken to bring. `heard`: servers
+        that relays themselves told of, whose word is nearer; `tells(proxy)`: whether a relay tells what comes to it."""
         now = self.desk.now()
         span, since, self.turned_at = now - self.turned_at, self.turned_at, now
         if span <= 0:
@@ -139,7 +157,7 @@
         total, by_class, told = 0.0, {}, 0.0
         for server, case in sorted(self.cases.items()):
             tries, failed, took = self._met(case, since, span)
-            if tries:
+            if tries and server not in heard:
                 self.desk.heard(self.stated["own_zone"], server, tries, failed, took, span, self._load(case))
             fresh = self._fresh(case, now)
             if fresh and fresh.completed is not None:
@@ -147,7 +165,7 @@
                 for place, rate in fresh.by_class.items():
                     by_class[place] = by_class.get(place, 0.0) + rate
                     told += rate
-        self._spread(total, by_class, told, span)
+        self._spread(total, by_class, told, span, tells)
 
     def _fresh(self, case, now):
         """A report counts for three periods; older, it tells of another day."""
@@ -180,7 +198,7 @@
             took = (took * done + sum(good_times)) // good
         return good + bad + lost, bad + lost, took if good else 0
 
-    def _spread(self, total, by_class, told, span):
+    def _spread(self, total, by_class, told, span, tells):
         """Demand by relay and class. With several planners hosts tell of all relays, this planner's among
         them, so each relay counts as one of all that the charter states."""
         everyone = len(self.proxies) if self.stated["instances"] == 1 else max(
@@ -189,7 +207,7 @@
             return
         places = range(len(self.stated["classes"]))
         for nth, proxy in enumerate(self.proxies):
-            for place in places:
+            for place in () if tells(proxy) else places:
                 share = by_class.get(place, 0.0) / told if told else 1 / len(places)
                 many = total * share * span / SECOND
                 # Whole exchanges, with the remainder going to the first ones, so that the sum is kept.
--- a/indigodeck/planner/service.py
+++ b/indigodeck/planner/service.py
@@ -4,7 +4,6 @@
 choice.py; what waits for whom is in desk.py; which list counts is in roster.py; what hosts' reports mean is in
 evidence.py.
 """
-import json
 import logging
 import time
 
@@ -12,17 +11,19 @@
 from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.gen import sleep
 from tornado.ioloop import IOLoop, PeriodicCallback
-from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError, SimpleAsyncHTTPClient
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from . import roster as lists
 from ..choice import Assigner
 from ..schema import BadDocument
+from .allowance import Allowance
 from .desk import Desk, Door
-from .evidence import Evidence, Report
+from .evidence import Evidence
+from .reach import HttpReach
+from .sums import Sums
 
 SECOND = 1_000_000
 RELAYS_MOST = 65535        # numbers of relays are small; one that has been met keeps its number
-REPORT_HEADER = "endpoint-load-metrics"
 LARGEST_LIST = 16 << 20
 
 
@@ -30,43 +31,27 @@
     return time.monotonic_ns() // 1000
 
 
-def report_of(header):
-    """A host's load report from the JSON form of an ORCA header: "JSON {..}", or None if it can't be read."""
-    try:
-        kind, _, text = header.strip().partition(" ")
-        given = json.loads(text) if kind == "JSON" else None
-        named = given.get("named_metrics", {})
-        by_class = {name.removeprefix("rps."): float(value) for name, value in named.items()
-                    if name.startswith("rps.")}
-        failed = float(given.get("eps", 0.0))
-        rps = given.get("rps_fractional")
-        return Report(float(given.get("cpu_utilization", 0.0)), float(named.get("inflight", 0.0)),
-                      round(float(named.get("latency_ms", 0.0)) * 1000),
-                      None if rps is None else max(0.0, float(rps) - failed), failed, by_class)
-    except (AttributeError, TypeError, ValueError, OverflowError):
-        return None
-
-
 class Service:
     """Everything that one planner runs. `make` hosts another policy on the same desk, for baselines."""
 
-    def __init__(self, charter, make=Assigner):
+    def __init__(self, charter, make=Assigner, reach=None):
         self.charter, self.log = charter, structlog.get_logger()
         self.clock_gap = time.time_ns() // 1000 - monotonic()
         self.relays, self.servers, self.places = Door(), Door(), {}
-        self.front_of, self.fronts, self.contact, self.numbers_of = {}, [], {}, {}
+        self.front_of, self.fronts, self.contact, self.numbers_of, self.hall_of = {}, [], {}, {}, {}
         self.roster = lists.Roster(self, self.servers, charter.halls, charter.kinds, self.clock_gap)
         self.desk = None
         self.desk = Desk(self, charter.stated, charter.seed, make)
         reports = charter.reports
         self.evidence = Evidence(self.desk, charter.stated, reports.get("probes_per_s", 20),
                                  reports.get("probes_at_once", 16))
-        self.report_path = reports.get("path", "/load")
+        self.sums = Sums(self.desk, reports.get("lines_per_s", 500), charter.stated["report_period"])
+        self.allowances = {}
         # A probe is a real exchange, so one that may be done twice.
         safe = [kind["name"] for kind in charter.stated["classes"] if kind["repeats"] == "safe"]
-        self.probe_path = reports.get("probe_path", f"/exchange/{(safe or charter.classes)[0]}")
+        self.reach = reach or HttpReach(reports, (safe or charter.classes)[0])
         self.patience = min(kind["patience"] for kind in charter.stated["classes"])
-        self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=512, max_body_size=LARGEST_LIST)
+        self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=8, max_body_size=LARGEST_LIST)
         self.tasks, self.ending, self.last_text, self.asking = [], False, None, False
         self.seen, self.held_lists = None, set()
 
@@ -98,12 +83,28 @@
         known = uid in self.relays.index_of
         return self.relays.index(uid) if known or len(self.relays.id_of) < RELAYS_MOST else None
 
-    def joined(self, front, proxy, uid):
-        if proxy in self.front_of:
+    def allowance(self, who):
+        """One account for each relay, kept over its connections for as long as what was written counts."""
+        found = self.allowances.get(who)
+        if found is None:
+            for name in [name for name, held in self.allowances.items() if held.idle(self.now())]:
+                del self.allowances[name]
+            stated, channel = self.charter.stated, self.charter.channel
+            found = self.allowances[who] = Allowance(channel["messages_most"], stated["messages_span"],
+                                                     channel["answers_most"], stated["way_longest"])
+        return found
+
+    def joined(self, front, proxy, uid, hall=None):
+        older = self.front_of.get(proxy)
+        if older is not None:
             # The newest connection under a name speaks for it, over whichever front.
             self._leave(proxy)
+            if older is not front:
+                older.replaced(proxy)
         self.front_of[proxy] = front
-        hall, rate = self.charter.relay(uid)
+        stated, rate = self.charter.relay(uid)
+        hall = stated if hall is None else self.charter.halls.index(hall)
+        self.hall_of[proxy] = hall
         self.evidence.joined(proxy)
         self.note("relay joined", relay=uid, hall=self.charter.halls[hall])
         self.desk.proxy_joined(proxy, hall, rate, False)
@@ -116,8 +117,22 @@
     def _leave(self, proxy):
         del self.front_of[proxy]
         self.evidence.left(proxy)
+        self.sums.left(proxy)
         self.desk.proxy_left(proxy)
 
+    def told(self, proxy, place, span, met, refused, stream):
+        """A relay's own report: [(host's id, issued, failed, mean time of good ones)]."""
+        known = [(self.servers.index_of[name], tries, failed, took) for name, tries, failed, took in met
+                 if name in self.servers.index_of]
+        return self.sums.told(proxy, self.hall_of.get(proxy, 0), place, span, known, refused, stream)
+
+    def host(self, server):
+        """(hall, id, address, port) of a server, or None."""
+        entry = self.roster.hosts.get(self.servers.id_of[server]) if server in self.places else None
+        if entry is not None:
+            return entry.get("hall", ""), entry["id"], *self.places[server]
+        return ("", self.servers.id_of[server], *self.places[server]) if server in self.places else None
+
     def server_at(self, where):
         return self.numbers_of.get(where)
 
@@ -218,13 +233,13 @@
         """One real exchange, sent by the planner itself."""
         where, begun = self.places.get(server), self.now()
         if where is None:
-            outcome, header = "unreachable", None
+            outcome, report = "unreachable", None
         else:
-            outcome, header = await self._fetch(where, self.probe_path, self.patience / SECOND)
+            outcome, report = await self.reach.exchange(where, self.patience / SECOND)
         now = self.now()
         if outcome in ("ok", "error", "full"):
             self.contact[server] = now
-        self._reported(server, header, now)
+        self._reported(server, report, now)
         if asked:
             self.desk.probed(server, outcome, now - begun, None)
         else:
@@ -235,40 +250,24 @@
         where = self.places.get(server)
         if where is None:
             return
-        outcome, header = await self._fetch(where, self.report_path, self.charter.stated["report_period"] / SECOND)
-        if outcome == "ok" and self._reported(server, header, self.now()):
+        report = await self.reach.report(where, self.charter.stated["report_period"] / SECOND)
+        if report is not None:
+            self._reported(server, report, self.now())
             self.contact[server] = self.now()
         else:
             self.evidence.unanswered(server)
 
-    def _reported(self, server, header, at):
-        report = report_of(header) if header else None
+    def _reported(self, server, report, at):
         if report is not None:
             places = {name: place for place, name in enumerate(self.charter.classes)}
             by_class = {places[name]: rate for name, rate in report.by_class.items() if name in places}
             self.evidence.reported(server, report._replace(by_class=by_class), at)
-        return report is not None
-
-    async def _fetch(self, where, path, patience):
-        """(outcome, report header) of one HTTP exchange."""
-        address = f"[{where[0]}]" if ":" in where[0] else where[0]
-        request = HTTPRequest(f"http://{address}:{where[1]}{path}", connect_timeout=min(patience, 1.0),
-                              request_timeout=patience, headers={"Relay": "planner"})
-        try:
-            answer = await self.client.fetch(request, raise_error=False)
-        except HTTPTimeoutError:
-            return "silent", None
-        except HTTPStreamClosedError:
-            return "broken", None
-        except (OSError, HTTPClientError):
-            return "unreachable", None
-        outcome = "ok" if answer.code < 400 else "full" if answer.code == 503 else "error"
-        return outcome, answer.headers.get(REPORT_HEADER)
 
     # Its life.
 
     def _period(self):
-        self.evidence.turn()
+        heard = self.sums.turn(lambda server: server in self.evidence.cases, self.evidence.took)
+        self.evidence.turn(heard, self.sums.tells)
         servers = sorted(self.evidence.cases)
         period = self.charter.stated["report_period"] / SECOND
         for nth, server in enumerate(servers):
@@ -313,3 +312,4 @@
         for front in self.fronts:
             front.cease()
         self.client.close()
+        self.reach.close()
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -206,7 +206,7 @@
                 tables, client, task = planner.client()
                 hung = ("127.0.0.1", yard.hosts["host-3"].port)
                 turns, old = [], planner.service.evidence.turn
-                planner.service.evidence.turn = lambda: (turns.append(now()), old())
+                planner.service.evidence.turn = lambda *given: (turns.append(now()), old(*given))
                 await until(lambda: hung in tables.lines["reading"] and len(turns) > 2)
                 full = tables.lines["reading"][hung]
                 yard.hosts["host-3"].hurt("hang")
