--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -51,7 +51,7 @@
             "exchanges_a_second": round(result["service"]["asked"] / seconds), "cores_mean": round(sum(cores) / len(cores), 3),
             "cores_worst_second": round(max(cores), 3), "resident_mb": round(max(line[2] for line in samples), 1),
             "service": result["service"]["whole"], "rules_kept": all(rule["kept"] for rule in result["rules"]),
-            "sasp_bytes": result["sasp_bytes"]}
+            "wire_bytes": result["wire_bytes"]}
     print(json.dumps(kept))
     (pathlib.Path(__file__).parent / f"results/load-{relays}.json").write_text(json.dumps(kept, indent=1) + "\n")
 
--- a/indigodeck/cli.py
+++ b/indigodeck/cli.py
@@ -2,6 +2,7 @@
 2 called wrongly, or a document that can't be read; 3 nothing could be reached."""
 import asyncio
 import json
+import os
 import pathlib
 import sys
 import time
@@ -12,6 +13,8 @@
 from .schema import BadDocument
 
 FOUND, WRONG, UNREACHED = 1, 2, 3
+# grpcio tells of every connection that ends; our own lines say what matters of it. Asked for, it is heard.
+os.environ.setdefault("GRPC_VERBOSITY", "NONE")
 
 
 def log_as(form):
--- a/indigodeck/client/xds.py
+++ b/indigodeck/client/xds.py
@@ -74,13 +74,14 @@
 class XdsClient:
     """The same interface as `sasp.SaspClient`; `hall`: the relay's own. `report_to` takes exchanges' outcomes."""
 
-    def __init__(self, uid, planners, tables, members=(), patience=3.0, failed=None, hall=""):
+    def __init__(self, uid, planners, tables, members=(), patience=3.0, failed=None, hall="", witness=None):
         self.uid, self.tables, self.patience, self.failed = uid, tables, patience, failed
         self.planners = planners if callable(planners) else lambda: planners
         self.node = base_pb2.Node(id=uid, locality=base_pb2.Locality(zone=hall))
         self.chance = Chance(seed_from(uid, []))
         self.redial, self.ended, self.dials, self.names = Redial(self.chance), False, 0, {}
         self.talk, self.channel, self.task, self.stream = None, None, None, None
+        self.witness = witness or (lambda what, tables: None)      # hears of each stream and each message
         self.met = {}       # (class, place): [succeeded, failed, time]
 
     async def run(self):
@@ -91,9 +92,7 @@
                 try:
                     await self._follow(places[self.dials % len(places)])
                 except grpc.aio.AioRpcError as caught:
-                    refused = caught.code() == grpc.StatusCode.RESOURCE_EXHAUSTED
-                    error = (Refused if refused else Malfunction if caught.code() == grpc.StatusCode.INTERNAL
-                             else Unreachable)(caught.details() or str(caught.code()))
+                    error = self._error(caught)
                 except (asyncio.TimeoutError, OSError):
                     error = Unreachable("the planner stopped answering")
                 except asyncio.CancelledError:
@@ -108,6 +107,15 @@
                 self.redial.held()
             await asyncio.sleep(self.redial.failed() / SECOND)
 
+    @staticmethod
+    def _error(caught):
+        details = caught.details() or str(caught.code())
+        if caught.code() == grpc.StatusCode.RESOURCE_EXHAUSTED:
+            return Refused(details)
+        # For bytes that are no HTTP/2 the library has the code of a planner that can't be reached, and words.
+        nonsense = caught.code() == grpc.StatusCode.INTERNAL or "Failed parsing HTTP/2" in details
+        return (Malfunction if nonsense else Unreachable)(details)
+
     async def _follow(self, place):
         # Keepalive finds a planner that stands still; its own pings need no answer from the program.
         self.channel = grpc.aio.insecure_channel(f"{place[0]}:{place[1]}", options=[
@@ -117,6 +125,7 @@
         talk = self.talk = Talk(self.tables, self.names)
         self.stream = ads_pb2_grpc.AggregatedDiscoveryServiceStub(self.channel).DeltaAggregatedResources()
         await asyncio.wait_for(self.stream.write(talk.opening(self.node)), self.patience)
+        self.witness("joined", [])
         reporter = asyncio.get_running_loop().create_task(self._report())
         try:
             while True:
@@ -126,8 +135,10 @@
                 response = await asyncio.wait_for(self.stream.read(), due)
                 if response is grpc.aio.EOF:
                     raise OSError("the planner ended the stream")
+                self.witness("message", [read(resource.resource.value)[:2] for resource in response.resources])
                 await self.stream.write(talk.read(response))
         finally:
+            self.witness("left", [])
             reporter.cancel()
 
     def report(self, name, place, good, took):
--- a/indigodeck/fronts/xds/streams.py
+++ b/indigodeck/fronts/xds/streams.py
@@ -140,13 +140,15 @@
             raise TooMuch(f"{names + others} names, {self.relay.bounds.names} at most")
 
     def _settled(self, kind, held, nonce, error):
-        """An acknowledgement or refusal of one response and, silently, of those before it. Whether it was the
-        newest: only then does what came with it count."""
+        """An acknowledgement or refusal of one response. In the whole form it speaks for those before it too, which
+        the relay has read by then; in the incremental form each is answered by itself. Whether it was the newest:
+        only then does a subscription of the whole form that came with it count."""
         if nonce not in held.underway:
             return False
-        for older in list(held.underway):
-            versions, removed, parcels = held.underway.pop(older)
-            if older == nonce and error:
+        before = [] if self.delta else list(held.underway)[:list(held.underway).index(nonce)]
+        for number in before + [nonce]:
+            versions, removed, parcels = held.underway.pop(number)
+            if number == nonce and error:
                 held.refused.update(versions)
                 # It goes on with what it held: that is what is known of it now.
                 for name in versions:
@@ -155,14 +157,12 @@
                     else:
                         held.sent.pop(name, None)
                 self.relay.refused(kind, versions, error)
-            elif older == nonce:
+            else:
                 held.held.update(versions)
                 for name in removed:
                     held.held.pop(name, None)
             # A newer one that was taken speaks for the older, for it held all that they did.
             self.relay.settled(parcels, not error)
-            if older == nonce:
-                break
         self.line.due()
         return not held.underway
 
--- a/indigodeck/standins/audit.py
+++ b/indigodeck/standins/audit.py
@@ -92,8 +92,12 @@
                     ear.tables.opened()
                 elif event.what == "left":
                     joined.discard(event.relay)
-                else:
+                elif isinstance(event.data, bytes):
                     codec.dispatch(event.data, ear)
+                else:
+                    for name, entries in event.data:        # of a stream that the relay itself told of
+                        ear.tables.confirmed.discard(name)
+                        ear.tables.told(name, [(tuple(where), *rest) for where, *rest in entries] or [(None, 0, True, True)])
                 for name in self.classes:
                     empty = (event.relay in joined and ear.tables.held_since[name] is not None
                              and not ear.tables.lines[name])
--- a/indigodeck/standins/day.py
+++ b/indigodeck/standins/day.py
@@ -18,7 +18,7 @@
 from ..schema import BadDocument, shipped, wrong
 from . import audit
 from .keeper import Keeper
-from .tap import Tap
+from .tap import Seen, Tap
 
 SECOND = 1_000_000
 SCHEMA = shipped(__file__, "day.schema.json")
@@ -66,7 +66,8 @@
 def charter_of(script, keeper_port):
     charter = json.loads(json.dumps(script["charter"]))
     charter["roster"] = {"service": f"http://127.0.0.1:{keeper_port}"}
-    charter.setdefault("fronts", {"sasp": {}}).setdefault("sasp", {}).update(address="127.0.0.1", port=0)
+    wire = script["relays"].get("wire", "sasp")
+    charter["fronts"] = {wire: dict(charter.get("fronts", {}).get(wire, {}), address="127.0.0.1", port=0)}
     charter.setdefault("relays", {}).setdefault("most", script["relays"]["many"])
     charter["relays"].setdefault("halls", [{"prefix": hall + "/", "hall": hall} for hall in charter["halls"]])
     return charter
@@ -117,7 +118,8 @@
         self.chance, self.hosts, self.crews, self.depots = Chance(script.get("seed", 1)), {}, [], []
         self.planner, self.port, self.starts, self.serial, self.told = None, None, [], 0, []
         self.log = open(self.folder / "planner.log", "ab")
-        self.keeper, self.tap = Keeper(self._told), Tap(now, lambda: self.port and ("127.0.0.1", self.port))
+        self.keeper, self.tap = Keeper(self._told), Tap(
+            now, lambda: self.port and ("127.0.0.1", self.port), script["relays"].get("wire", "sasp") == "sasp")
         self.keeper.late = round(script.get("roster", {}).get("late_ms", 0) * 1000)
         self.charter = Charter(charter_of(script, self.keeper.listen()))
         (self.folder / "charter.json").write_text(json.dumps(self.charter.document))
@@ -242,7 +244,7 @@
             self.planner.send_signal(signal.SIGCONT)
         elif kind == "relay_cut":
             for uid in self.struck(self.relay_of, part):
-                self.tap.cut(uid)
+                await self.relay_of[uid].do(do="drop", uid=uid)
         elif kind == "relay_deaf":
             for uid in self.struck(self.relay_of, part):
                 self.tap.deafen(uid, now() + round(seconds * SECOND))
@@ -250,7 +252,7 @@
             # All lose their streams one after the other: joins in quick succession, over and over.
             uids = list(self.relay_of) * max(1, round(size))
             for uid in uids:
-                self.tap.cut(uid)
+                await self.relay_of[uid].do(do="drop", uid=uid)
                 await sleep(seconds / len(uids))
 
     async def _again(self, hall):
@@ -289,6 +291,7 @@
                 depot = self.relay_of[uid] = self.depots[nth % len(self.depots)]
                 await depot.do(do="start", until=until, relay={
                     "uid": uid, "planners": [["127.0.0.1", tap]], "classes": classes, "seed": script.get("seed", 1),
+                    "wire": relays.get("wire", "sasp"), "hall": hall,
                     "standing": [["127.0.0.1", self.hosts[name]["entry"]["port"]] for name in standing],
                     "rate": relays["rate"] * parts[nth] / sum(parts), "retries": relays.get("retries", 0),
                     "strikes": relays.get("strikes", 0), "unruly": relays.get("unruly", {}).get(uid)})
@@ -328,12 +331,15 @@
             if path.name.startswith("receipts-"):
                 day.receipts += audit.lines_of(path)
             elif path.name.startswith("outcomes-"):
-                day.outcomes += audit.lines_of(path)
-        day.seen, day.told, day.starts = self.tap.seen, self.told, self.starts
+                lines = audit.lines_of(path)
+                day.outcomes += [line for line in lines if "seen" not in line]
+                day.seen += [Seen(line["at"], line["relay"], line["seen"], line["tables"]) for line in lines if "seen" in line]
+        day.told, day.starts = self.told, self.starts
+        day.seen += [seen for seen in self.tap.seen if seen.relay]
         verdicts, service = day.verdicts(), day.service()
         waiting = [json.loads(line).get("most_waiting", 0) for line in (self.folder / "planner.log").read_text().splitlines()
                    if line.startswith("{") and "most_waiting" in line]
-        return {"policy": self.policy, "seconds": self.script["seconds"],
+        return {"policy": self.policy, "wire": self.script["relays"].get("wire", "sasp"), "seconds": self.script["seconds"],
                 "rules": [{"rule": verdict.rule, "kept": verdict.kept, "worst": verdict.worst, "limit": verdict.limit,
                            "unit": verdict.unit, "cases": [{"at_s": round(day.moment(at), 3), "who": who, "what": what}
                                                            for at, who, what in verdict.cases]}
@@ -341,8 +347,8 @@
                     {"rule": "a short queue (the planner's own count)", "kept": max(waiting, default=0)
                      <= self.charter.stated["waiting_most"], "worst": max(waiting, default=0),
                      "limit": self.charter.stated["waiting_most"], "unit": "lines", "cases": []}],
-                "service": service, "sasp_bytes": self.tap.bytes_sent,
-                "sasp_messages": sum(seen.what == "message" for seen in self.tap.seen)}
+                "service": service, "wire_bytes": self.tap.bytes_sent,
+                "wire_messages": sum(seen.what == "message" for seen in day.seen)}
 
 
 def printed(result):
@@ -358,7 +364,7 @@
                  f"worst class {service['worst_class']:.3f}")
     lines.append("  by 5 s  " + " ".join(f"{part:.2f}" for part in service["by_5_s"]))
     lines.append("  " + ", ".join(f"{outcome} {count}" for outcome, count in service["outcomes"].items()))
-    lines.append(f"  SASP to relays: {result['sasp_messages']} messages, {result['sasp_bytes']} bytes")
+    lines.append(f"  to relays over {result['wire']}: {result['wire_messages']} messages, {result['wire_bytes']} bytes")
     return "\n".join(lines)
 
 
--- a/indigodeck/standins/relay.py
+++ b/indigodeck/standins/relay.py
@@ -31,7 +31,13 @@
         self.chance = Chance(seed_from(self.uid, [str(stated.get("seed", 0)).encode()]))
         self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=4096)
         planners = [tuple(where) for where in stated["planners"]]
-        self.wire = SaspClient(self.uid, planners, self.tables, standing, patience=stated.get("planner_patience", 3.0))
+        patience = stated.get("planner_patience", 3.0)
+        if stated.get("wire") == "xds":
+            from ..client.xds import XdsClient
+            self.wire = XdsClient(self.uid, planners, self.tables, patience=patience, hall=stated.get("hall", ""),
+                                  witness=self._seen)
+        else:
+            self.wire = SaspClient(self.uid, planners, self.tables, standing, patience=patience)
         self.strikes, self.away, self.count, self.unruly = {}, {}, 0, stated.get("unruly")
         self.kept = None
 
@@ -40,6 +46,10 @@
         if self.stated["rate"] > 0:
             IOLoop.current().call_later(self._gap(), self._arrive)
 
+    def _seen(self, what, tables):
+        """What passed the relay's own end of a stream that no tap can read."""
+        self.write({"at": self.now(), "relay": self.uid, "seen": what, "tables": tables})
+
     def _gap(self):
         return -math.log((1 + self.chance.below(1 << 30)) / (1 << 30)) / self.stated["rate"]
 
@@ -62,7 +72,7 @@
         outcome, tries = "nowhere", 0
         for nth in range(1 + self.stated.get("retries", 0)):
             left = kind["patience_ms"] * 1000 - (self.now() - begun)
-            if left <= 0 or (nth and kind["repeats"] != "safe" and outcome not in ("nowhere", "full")):
+            if left <= 0 or (nth and kind["repeats"] != "safe" and outcome not in ("nowhere", "full", "refused")):
                 break
             tries += 1
             outcome = await self.forward(name, f"{key}/{nth}", work, min(left, kind["patience_ms"] * 600))
@@ -77,6 +87,9 @@
     async def forward(self, name, key, work, patience):
         """One try of a client, which the relay may send on once more on proof that the first never ran."""
         tried, outcome, begun = [], "nowhere", self.now()
+        # A client that comes again is refused again: by what it asks, and not by a new draw.
+        if not self.tables.admits(name, Chance(seed_from(key.rpartition("/")[0], [])).below(1 << 20) / (1 << 20)):
+            return "refused"
         for nth in range(2):
             shunned = [where for where, until in self.away.items() if until > self.now()]
             try:
@@ -86,8 +99,11 @@
             if where in tried:
                 return outcome
             tried.append(where)
+            sent = self.now()
             outcome = await self._send(where, name, key, nth, work, (patience - (self.now() - begun)) / SECOND)
             self._judge(where, outcome)
+            if self.stated.get("wire") == "xds":
+                self.wire.report(name, where, outcome == "ok", self.now() - sent)
             if outcome not in ("unreachable",) and not (self.unruly == "repeats" and outcome != "ok"):
                 return outcome
         return outcome
--- a/indigodeck/standins/tap.py
+++ b/indigodeck/standins/tap.py
@@ -14,6 +14,9 @@
 from ..fronts.sasp import codec
 
 
+NONSENSE = b"HTTP/1.1 418 I am no planner\r\n\r\n" * 4
+
+
 class Seen(NamedTuple):
     """One thing that passed: "joined", "left" or "message" (planner to relay, with its bytes)."""
     at: int
@@ -25,10 +28,11 @@
 class Tap(TCPServer):
     """`planner()`: where it listens now, or None."""
 
-    def __init__(self, now, planner):
+    def __init__(self, now, planner, legible=True):
         super().__init__()
+        self.legible = legible      # whether what passes is SASP, and can be read
         self.now, self.planner, self.seen, self.streams, self.deaf = now, planner, [], {}, {}
-        self.bytes_sent = 0
+        self.bytes_sent, self.mode, self.everyone = 0, "pass", set()
 
     def open(self):
         sockets = bind_sockets(0, "127.0.0.1")
@@ -36,6 +40,11 @@
         return sockets[0].getsockname()[1]
 
     async def handle_stream(self, relay, address):
+        self.everyone.add(relay)
+        relay.set_close_callback(lambda: self.everyone.discard(relay))
+        if self.mode != "pass":
+            # What a planner may do that is not well: hang up, say nothing for ever, or talk nonsense.
+            return relay.close() if self.mode == "refuse" else relay.write(NONSENSE) if self.mode == "nonsense" else None
         where = self.planner()
         try:
             planner = await TCPClient().connect(*where, timeout=1) if where else None
@@ -48,7 +57,10 @@
         try:
             while True:
                 data = await planner.read_bytes(65536, partial=True)
-                said["rest"] = self._messages(said, said.get("rest", b"") + data)
+                if self.legible:
+                    said["rest"] = self._messages(said, said.get("rest", b"") + data)
+                else:
+                    self.bytes_sent += len(data)
                 await relay.write(data)
                 while self.now() < self.deaf.get(said["uid"], 0):
                     await sleep(0.05)       # reads nothing more: the planner's bytes stay where they are
@@ -65,7 +77,7 @@
         try:
             while True:
                 data = await relay.read_bytes(65536, partial=True)
-                if said["uid"] is None and len(data) > 18:
+                if self.legible and said["uid"] is None and len(data) > 18:
                     # The first message says who speaks: a byte of length after the header and the type.
                     said["uid"] = data[18:18 + data[17]].decode()
                     self.streams[said["uid"]] = relay
@@ -87,6 +99,10 @@
             data = data[whole:]
         return data
 
+    def cut_all(self):
+        for relay in list(self.everyone):
+            relay.close()
+
     def cut(self, uid):
         if uid in self.streams:
             self.streams[uid].close()
--- /dev/null
+++ b/tests/test_xds.py
@@ -0,0 +1,331 @@
+"""The xDS front: versions and acknowledgements without sockets, load reports, and a client that nobody here wrote."""
+import asyncio
+import difflib
+import json
+import os
+import sys
+import tempfile
+import unittest
+from collections import Counter
+
+import structlog
+from hypothesis import given, settings, strategies as some
+
+os.environ.setdefault("GRPC_VERBOSITY", "NONE")
+
+from indigodeck.client.xds import read as read_assignment     # noqa: E402
+from indigodeck.fronts.xds import codec                       # noqa: E402
+from indigodeck.fronts.xds.codec import CLUSTER, ENDPOINTS, KINDS, LISTENER, ROUTE      # noqa: E402
+from indigodeck.fronts.xds.streams import UNDERWAY_MOST, Bounds, Relay, TooMuch         # noqa: E402
+from indigodeck.planner.sums import Sums                      # noqa: E402
+from indigodeck.standins.conversation import Talkers          # noqa: E402
+from indigodeck.standins.stock import GrpcHost                # noqa: E402
+from rig import SECOND, Loop, TraceCase                       # noqa: E402
+from test_live import ROOT, Planner, now, until               # noqa: E402
+
+SHORT = {CLUSTER: "cluster", ENDPOINTS: "endpoints", LISTENER: "listener", ROUTE: "route"}
+NAMED = {short: kind for kind, short in SHORT.items()}
+
+
+class Fleet(Loop):
+    """A shelf and a desk in one: resources are what a test says they are."""
+
+    def __init__(self, *names):
+        super().__init__()
+        self.made = {(kind, name): "1" for kind in KINDS for name in names}
+        self.taken, self.parcels, self.refusals = [], [], []
+        self.relay = Relay("r1", 0, self, self, self, Bounds(names=16, streams=2))
+
+    def names(self):
+        return {name for _, name in self.made}
+
+    def resource(self, kind, name, proxy):
+        version = self.made.get((kind, name))
+        return None if version is None else (version, b"")
+
+    def take(self, proxy):
+        return self.parcels.pop() if self.parcels else None
+
+    def acknowledged(self, parcel):
+        self.note(f"parcel {parcel} is applied")
+
+    def set(self, version, kind="endpoints", name="read"):
+        self.made[NAMED[kind], name] = version
+
+    def drop(self, name):
+        self.made = {key: version for key, version in self.made.items() if key[1] != name}
+
+
+class Peer:
+    """A relay's end of one stream, that prints what it is sent and can answer any of it."""
+
+    def __init__(self, fleet, delta=False):
+        self.fleet, self.nonces, self.names = fleet, {}, {}
+        self.stream = fleet.relay.opened(self, delta)
+
+    def due(self):
+        pass
+
+    def send(self, kind, version, nonce, resources, removed):
+        self.nonces.setdefault(kind, []).append(nonce)
+        told = " ".join(f"{name}={held}" for name, held, _ in resources) + "".join(f" -{name}" for name in removed)
+        self.fleet.note(f"{SHORT[kind]} #{nonce}: {told}")
+
+    def ask(self, kind, *names, nonce="", error=None):
+        kind = NAMED[kind]
+        self.names[kind] = names
+        self.stream.asked_whole(kind, names, nonce, error)
+
+    def change(self, kind, subscribe=(), unsubscribe=(), holding=None, nonce="", error=None):
+        self.stream.asked_changes(NAMED[kind], subscribe, unsubscribe, holding or {}, nonce, error)
+
+    def drain(self):
+        while self.stream.news():
+            self.fleet.relay.take()
+
+    def answer(self, kind, which=-1, error=None):
+        nonce, kind = self.nonces[NAMED[kind]][which], NAMED[kind]
+        if self.stream.delta:
+            self.stream.asked_changes(kind, (), (), {}, nonce, error)
+        else:
+            self.stream.asked_whole(kind, self.names.get(kind, ()), nonce, error)
+
+
+class Streams(TraceCase):
+    def test_make_before_break_stale_answers_and_refusals(self):
+        fleet = Fleet("read", "write")
+        peer = Peer(fleet)
+        for kind in ("listener", "route", "cluster", "endpoints"):
+            peer.ask(kind, "read", "write")
+        peer.drain()
+        for kind in SHORT.values():
+            peer.answer(kind)
+        fleet.note("three states go out before the first is answered; a fourth waits")
+        for version in ("4", "5", "6", "7"):
+            fleet.set(version)
+            fleet.parcels.append(version)
+            fleet.relay.take()
+            peer.drain()
+        fleet.note("the one before the newest is acknowledged, then the newest")
+        peer.answer("endpoints", -2)
+        peer.drain()
+        peer.answer("endpoints")
+        fleet.note("it refuses 8, which is not sent again, and takes 9")
+        fleet.set("8")
+        peer.drain()
+        peer.answer("endpoints", error="no such host")
+        peer.drain()
+        peer.drain()
+        fleet.set("9")
+        peer.drain()
+        peer.answer("endpoints")
+        fleet.note("a subscription that grows and shrinks; a nonce of long ago asks for nothing")
+        peer.ask("endpoints", "read", nonce=peer.nonces[ENDPOINTS][-1])
+        fleet.set("2", name="write")
+        peer.drain()
+        peer.ask("endpoints", "read", "write", nonce="1")
+        peer.drain()
+        peer.ask("endpoints", "read", "write", nonce=peer.nonces[ENDPOINTS][-1])
+        peer.drain()
+        self.compare("xds-whole", fleet)
+
+    def test_removals_come_after_what_leads_to_them(self):
+        fleet = Fleet("read", "write")
+        peer = Peer(fleet, delta=True)
+        for kind in ("listener", "route", "cluster", "endpoints"):
+            peer.change(kind, ("read", "write", "other"))
+        peer.drain()
+        for kind in SHORT.values():
+            peer.answer(kind)
+        fleet.note("write is renamed to store while its endpoints change")
+        fleet.set("2", name="write")
+        peer.drain()
+        fleet.drop("write")
+        for kind in SHORT.values():
+            fleet.made[NAMED[kind], "store"] = "1"
+            peer.change(kind, ("store",), ())
+        peer.drain()
+        fleet.note("its route and listener are acknowledged")
+        peer.answer("listener")
+        peer.answer("route")
+        peer.drain()
+        self.compare("xds-removals", fleet)
+
+    def test_a_relay_that_comes_back_gets_only_what_it_lacks(self):
+        fleet = Fleet("read", "write", "store")
+        peer = Peer(fleet, delta=True)
+        peer.change("endpoints", ("read", "write", "store", "lost"),
+                    holding={"read": "1", "write": "of another planner", "lost": "7"})
+        peer.drain()
+        other = Peer(fleet, delta=True)
+        fleet.note("a wildcard of clusters, on a second stream")
+        other.change("cluster")
+        other.drain()
+        fleet.drop("store")
+        other.drain()
+        other.change("cluster", (), ("*",))
+        other.drain()
+        self.compare("xds-back", fleet)
+
+    def test_bounds(self):
+        fleet = Fleet("read")
+        peer, _ = Peer(fleet), Peer(fleet)
+        with self.assertRaises(TooMuch):
+            Peer(fleet)
+        with self.assertRaises(TooMuch):
+            peer.ask("endpoints", *[f"n{nth}" for nth in range(17)])
+        peer.stream.asked_whole("type.googleapis.com/unknown", ["x"] * 1000, "", None)
+        peer.drain()
+
+    @settings(max_examples=300, deadline=None)
+    @given(some.booleans(), some.lists(some.tuples(
+        some.sampled_from(["ask", "set", "answer", "refuse", "stale", "drain", "drop", "add"]),
+        some.sampled_from(sorted(NAMED)), some.sampled_from(["read", "write", "none"]), some.integers(0, 9)), max_size=40))
+    def test_whatever_is_said_every_relay_ends_on_the_newest_state(self, delta, steps):
+        fleet = Fleet("read", "write")
+        peer = Peer(fleet, delta)
+        for kind in SHORT.values():
+            peer.change(kind, ("read", "write")) if delta else peer.ask(kind, "read", "write")
+        for step, kind, name, number in steps:
+            if step == "ask" and not delta:
+                peer.stream.asked_whole(NAMED[kind], peer.names.get(NAMED[kind], ()), f"{number}", None)
+            elif step == "set" and (NAMED[kind], name) in fleet.made:
+                fleet.set(f"v{number}", kind, name)
+            elif step in ("answer", "refuse") and peer.nonces.get(NAMED[kind]):
+                peer.answer(kind, -1 - number % len(peer.nonces[NAMED[kind]]), "no" if step == "refuse" else None)
+            elif step == "drop" and name != "read":
+                fleet.drop(name)
+            elif step == "add" and name == "write":
+                for each in KINDS:
+                    fleet.made.setdefault((each, name), "1")
+            elif step == "drain":
+                peer.drain()
+            for each in KINDS:
+                self.assertLessEqual(len(peer.stream.types[each].underway), UNDERWAY_MOST)
+        for nth in range(20):
+            peer.drain()
+            for kind in SHORT.values():
+                for which in range(len(peer.nonces.get(NAMED[kind], ()))):
+                    peer.answer(kind, which)
+        for (kind, name), version in fleet.made.items():
+            held = peer.stream.types[kind]
+            self.assertIn(version, (held.held.get(name), held.refused.get(name)), f"{SHORT[kind]} {name}")
+
+
+class Resources(unittest.TestCase):
+    def test_endpoints_carry_weights_halls_drains_and_levels(self):
+        version, data = codec.endpoints("read", [("hall-a", "h1", "10.0.0.1", 80, 300), ("hall-b", "h2", "::1", 81, 1)],
+                                        [("hall-a", "h3", "10.0.0.3", 80, 0)], 0.25)
+        again, _ = codec.endpoints("read", [("hall-b", "h2", "::1", 81, 1), ("hall-a", "h1", "10.0.0.1", 80, 300)],
+                                   [("hall-a", "h3", "10.0.0.3", 80, 0)], 0.25)
+        self.assertEqual(version, again)
+        response = codec.changes(ENDPOINTS, "1", "n", [("read", version, data)], [])
+        name, entries, level, names = read_assignment(response.resources[0].resource.value)
+        self.assertEqual((name, level), ("read", 0.25))
+        self.assertEqual(entries, [(("10.0.0.1", 80), 300, True, False), (("::1", 81), 1, True, False), (("10.0.0.3", 80), 0, True, True)])
+        self.assertEqual(names["::1", 81], ("hall-b", "h2"))
+
+
+class Reports(unittest.TestCase):
+    def setUp(self):
+        self.clock, self.lines = 0, []
+        self.sums = Sums(self, 10, SECOND)
+
+    def now(self):
+        return self.clock
+
+    def heard(self, zone, server, tries, failed, took, span, load):
+        self.lines.append(("heard", server, tries, failed, took))
+
+    def demand(self, proxy, place, exchanges, failed, span):
+        self.lines.append(("demand", proxy, exchanges, failed))
+
+    def turn(self, seconds=1):
+        self.clock += round(seconds * SECOND)
+        self.sums.turn(lambda server: server != 9, lambda server: 77)
+        lines, self.lines = self.lines, []
+        return lines
+
+    def test_reports_add_up_over_relays_and_servers_long_gone_are_left_out(self):
+        self.clock = SECOND
+        self.sums.told(1, 0, 0, SECOND, [(3, 10, 1, 200), (9, 5, 5, 0)], 2, "s1")
+        self.sums.told(2, 0, 0, SECOND, [(3, 10, 0, 400), (4, 6, 0, 0)], 0, "s2")
+        self.assertEqual(sorted(self.turn()), [("demand", 1, 17, 6), ("demand", 2, 16, 0), ("heard", 3, 20, 1, 305), ("heard", 4, 6, 0, 77)])
+
+    def test_reports_sent_twice_or_by_a_fast_clock_are_left_out_by_their_time(self):
+        told = [self.sums.told(1, 0, 0, SECOND, [(3, 10, 0, 0)], 0, "s1") for _ in range(6)]
+        self.assertEqual(told, [True, True, True, False, False, False])
+        self.clock += 10 * SECOND
+        self.assertTrue(self.sums.told(1, 0, 0, SECOND, [(3, 1, 9, 0)], 0, "s1"))
+        self.assertFalse(self.sums.told(1, 0, 0, 3600 * SECOND, [(3, 10, 0, 0)], 0, "s1"))
+        self.assertFalse(self.sums.told(1, 0, 0, 0, [(3, 10, 0, 0)], 0, "s1"))
+
+    def test_what_is_over_the_limit_waits_oldest_first_and_adds_up(self):
+        for proxy in range(30):
+            self.clock += 1
+            self.sums.told(proxy, 0, 0, SECOND, [], 5, proxy)
+        first = self.turn(0.5)
+        self.assertEqual([line[1] for line in first], list(range(len(first))))
+        self.assertLessEqual(len(first), 10)
+        self.sums.told(29, 0, 0, SECOND, [], 5, 29)
+        rest = [line for _ in range(6) for line in self.turn()]
+        self.assertEqual([line[1] for line in first + rest], list(range(30)))
+        self.assertEqual(rest[-1], ("demand", 29, 10, 0))
+        self.assertEqual(self.sums.waiting(), 0)
+
+
+class Stock(unittest.IsolatedAsyncioTestCase):
+    async def test_the_stock_client_follows_the_tables_with_a_bootstrap_alone(self):
+        hosts = [GrpcHost(now, f"host-{nth}", 5_000) for nth in range(8)]
+        for host in hosts:
+            await host.open()
+        planner = Planner(hosts=0, reports={"over": "grpc"})
+        planner.document["fronts"] = {"xds": {"address": "127.0.0.1", "port": 0}}
+        for nth, host in enumerate(hosts):
+            planner.hosts[host.name] = {"port": host.port, "weight": 2 + 4 * (nth % 2), "hall": f"hall-{'abc'[nth % 3]}"}
+        planner.keep()
+        async with planner:
+            relays = [await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "indigodeck", "standin", "stock", "--planner", f"127.0.0.1:{planner.port}", "--uid",
+                f"hall-a/r{nth}", "--hall", "hall-a", "--class", "reading", "--class", "setpoint", "--rate", "150",
+                "--seconds", "7", stdout=asyncio.subprocess.PIPE, cwd=ROOT) for nth in range(2)]
+            # Shares count from when both are connected to every host, in both classes.
+            await until(lambda: all(len({(relay, kind) for _, relay, kind in host.receipts}) == 4 for host in hosts), 20)
+            before = [len(host.receipts) for host in hosts]
+            await until(lambda: sum(len(host.receipts) for host in hosts) > sum(before) + 600, 20)
+            counts = [len(host.receipts) - met for host, met in zip(hosts, before)]
+            total = sum(counts)
+            for nth, count in enumerate(counts):
+                share = (2 + 4 * (nth % 2)) / 32
+                self.assertAlmostEqual(count / total, share, delta=5 * (share * (1 - share) / total) ** 0.5, msg=counts)
+            drained = now()
+            planner.keep(host_1="draining")
+            said = [json.loads(line) for relay in relays for line in (await relay.communicate())[0].splitlines()]
+            self.assertEqual(Counter(line["outcome"] for line in said), {"ok": len(said)})
+            late = [at - drained for at, relay, _ in hosts[1].receipts if relay != "planner" and at > drained]
+            self.assertLess(max(late, default=0), planner.service.charter.stated["drain_grace"])
+            # What they met and what came to them reached the assigner: it is told of nothing else here.
+            self.assertGreater(planner.service.fronts[0].reports_read, 4)
+            self.assertTrue(planner.service.desk.assigner.valves[None].shown)
+            # Marks of the last orders were answered by acknowledgements.
+            self.assertLessEqual(len(planner.service.desk.assigner.channel.marks), 2)
+        for host in hosts:
+            await host.server.stop(0)
+
+
+class Conversation(unittest.IsolatedAsyncioTestCase):
+    async def test_one_scripted_conversation_over_both_protocols(self):
+        structlog.configure(processors=[lambda *_: (_ for _ in ()).throw(structlog.DropEvent)])
+        script = json.loads((ROOT / "examples/conversation.json").read_text())
+        with tempfile.TemporaryDirectory() as folder:
+            traces = await Talkers(script, folder).play()
+        path = ROOT / "tests/traces/conversation.txt"
+        if os.environ.get("INDIGODECK_WRITE_TRACES"):
+            path.write_text("\n".join(traces["sasp"]) + "\n")
+        for wire, lines in traces.items():
+            differing = "\n".join(difflib.unified_diff(path.read_text().splitlines(), lines, "kept", wire, lineterm=""))
+            self.assertFalse(differing, "\n" + differing)
+
+
+if __name__ == "__main__":
+    unittest.main()
