--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -8,12 +8,13 @@
 
 from indigodeck.fronts.sasp import codec
 from indigodeck.fronts.sasp.codec import Bounds, Member
-from indigodeck.fronts.sasp.conversation import Conversation, Office, scaled
+from indigodeck.fronts.sasp.conversation import Conversation, Office
 from indigodeck.host import DRAINING, GONE, READY
 from indigodeck.planner.allowance import Allowance
 from indigodeck.planner.charter import Charter
 from indigodeck.planner.desk import Desk, Door
 from indigodeck.planner.evidence import Evidence, Report
+from indigodeck.planner.weights import scaled
 from indigodeck.planner.roster import Roster, read
 from indigodeck.schema import BadDocument
 from rig import SECOND, Loop, TraceCase, charter, server
@@ -253,6 +254,42 @@
         late.push()       # before its tables are bound
         self.compare("sasp-old-tables", clerk)
 
+    @settings(max_examples=150, deadline=None)
+    @given(some.lists(some.tuples(some.sampled_from(
+        ["hello", "register", "leave", "ask", "state", "agent", "rubbish", "drain", "ready", "push", "run", "other"]),
+        some.integers(0, 7)), max_size=30))
+    def test_any_order_of_requests_is_answered_once_each_and_drains_are_told(self, steps):
+        clerk = Clerk(servers=8)
+        wire, agent = Wire(clerk), Wire(clerk)
+        read = (b"r1", b"read")
+        for step, nth in steps:
+            asked = {"hello": [codec.set_balancer(1, b"r1", 1, nth % 2 == 0, nth % 3 > 0, nth < 6)],
+                     "register": [codec.register(2, True, [(read, [member(nth), member(nth + 1)])])],
+                     "leave": [codec.deregister(3, True, 0, [(read, [member(nth)][:nth % 2])])],
+                     "ask": [codec.get_weights(4, [read][:nth])], "rubbish": [codec.register(5, True, [(read, [member(1)] * 65)])],
+                     "state": [codec.set_members(6, True, [(read, [(member(nth), 1, nth % 2 == 0)])])]}.get(step, [])
+            before = sum("answer" in line for line in clerk.printed)
+            wire.ask(*asked)
+            self.assertEqual(sum("answer" in line for line in clerk.printed) - before, len(asked))
+            if step == "agent":
+                agent.ask(codec.register(7, False, [(read, [member(nth)])]))
+            elif step in ("drain", "ready"):
+                clerk.change(server(nth, DRAINING if step == "drain" else READY))
+            elif step == "push":
+                wire.push()
+            elif step == "run":
+                clerk.run(nth / 2)
+            elif step == "other" and wire.closed is None:
+                wire.talk.ended()
+                wire = Wire(clerk)
+        if wire.talk.proxy is not None and 0 in wire.talk.groups:
+            clerk.run(1)
+            wire.ask(codec.get_weights(9, [read]))
+            told = wire.talk.groups[0].told
+            for index in clerk.desk.withdrawn:
+                weight, flags, _ = told.get(("127.0.0.1", PORT + index), (0, codec.QUIESCED, 0))
+                self.assertEqual((weight, flags & codec.QUIESCED), (0, codec.QUIESCED))
+
     @settings(max_examples=200, deadline=None)
     @given(some.dictionaries(some.integers(0, 30), some.floats(1e-4, 1e4), min_size=1))
     def test_weights_of_16_bits_keep_proportions_and_lose_nobody(self, lines):
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -8,16 +8,23 @@
 import unittest
 from collections import Counter
 
+import grpc
 import structlog
+from envoy.config.core.v3 import base_pb2
+from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
 from hypothesis import given, settings, strategies as some
 
 os.environ.setdefault("GRPC_VERBOSITY", "NONE")
 
-from indigodeck.client.xds import read as read_assignment     # noqa: E402
+from indigodeck.client import Tables                           # noqa: E402
+from indigodeck.client.sasp import SaspClient                 # noqa: E402
+from indigodeck.client.xds import XdsClient, read as read_assignment      # noqa: E402
 from indigodeck.fronts.xds import codec                       # noqa: E402
 from indigodeck.fronts.xds.codec import CLUSTER, ENDPOINTS, KINDS, LISTENER, ROUTE      # noqa: E402
 from indigodeck.fronts.xds.streams import UNDERWAY_MOST, Bounds, Relay, TooMuch         # noqa: E402
+from indigodeck.planner.charter import Charter                 # noqa: E402
 from indigodeck.planner.sums import Sums                      # noqa: E402
+from indigodeck.serve import assemble                         # noqa: E402
 from indigodeck.standins.conversation import Talkers          # noqa: E402
 from indigodeck.standins.stock import GrpcHost                # noqa: E402
 from rig import SECOND, Loop, TraceCase                       # noqa: E402
@@ -313,6 +320,100 @@
             await host.server.stop(0)
 
 
+class Fronts(unittest.IsolatedAsyncioTestCase):
+    """Both fronts on one planner."""
+
+    def planner(self, hosts=6, **more):
+        planner = Planner(hosts=hosts, **more)
+        planner.document["fronts"] = {wire: {"address": "127.0.0.1", "port": 0} for wire in ("sasp", "xds")}
+        planner.keep()
+        return planner
+
+    def relay(self, planner, wire, uid):
+        tables, errors = Tables(["reading", "setpoint"], now), []
+        port = dict(zip(planner.service.charter.fronts, planner.service.fronts))
+        client = {"sasp": SaspClient, "xds": XdsClient}[wire](
+            uid, lambda: [("127.0.0.1", port[wire].port())], tables, failed=errors.append)
+        client.redial.first, client.redial.most = 50_000, 400_000
+        return tables, client, asyncio.get_running_loop().create_task(client.run()), errors
+
+    async def test_one_name_over_both_protocols_is_one_proxy_and_the_newest_speaks_for_it(self):
+        async with self.planner() as planner:
+            sasp = self.relay(planner, "sasp", "hall-a/r1")
+            await until(lambda: len(sasp[0].lines["reading"]) == 6)
+            xds = self.relay(planner, "xds", "hall-a/r1")
+            await until(lambda: xds[0].versions and sasp[3])
+            self.assertEqual(len(planner.service.desk.holdings), 1)
+            sasp[1].leave()
+            planner.keep(host_3="draining")
+            await until(lambda: len(xds[0].lines["reading"]) == 5)
+            xds[1].leave()
+            await asyncio.gather(sasp[2], xds[2])
+
+    async def test_a_flood_of_requests_from_one_relay_costs_the_others_nothing(self):
+        async with self.planner() as planner:
+            tables, client, task, _ = self.relay(planner, "xds", "hall-b/r2")
+            await until(lambda: len(tables.lines["reading"]) == 6)
+            channel = grpc.aio.insecure_channel(f"127.0.0.1:{planner.service.fronts[1].port()}")
+            stream = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel).StreamAggregatedResources()
+            flooding = True
+
+            async def flood():
+                nth = 0
+                while flooding:
+                    nth += 1
+                    await stream.write(discovery_pb2.DiscoveryRequest(
+                        node=base_pb2.Node(id="hall-a/flood"), type_url=ENDPOINTS, response_nonce="",
+                        resource_names=[("reading", "setpoint", f"n{nth}")[nth % 3]]))
+
+            flooder = asyncio.get_running_loop().create_task(flood())
+            for nth in range(3):
+                planner.keep(**{f"host_{nth}": "draining"})
+                await until(lambda: len(tables.lines["reading"]) == 5 - nth)
+            flooding = False
+            await flooder
+            wrote = planner.service.allowance("hall-a/flood").written
+            self.assertLessEqual(len(wrote), planner.service.charter.channel["messages_most"])
+            # More names than are allowed end its stream, with the reason.
+            with self.assertRaises(grpc.aio.AioRpcError) as caught:
+                await stream.write(discovery_pb2.DiscoveryRequest(type_url=ENDPOINTS, resource_names=[f"n{nth}" for nth in range(999)]))
+                while await stream.read() is not grpc.aio.EOF:
+                    pass
+                raise await_error(stream, await stream.code(), await stream.details())
+            self.assertEqual(caught.exception.code(), grpc.StatusCode.RESOURCE_EXHAUSTED)
+            await channel.close()
+            client.leave()
+            await task
+
+    async def test_a_planner_restarts_and_all_come_back_over_both_fronts_never_bare(self):
+        bare, many = [], 24
+        async with self.planner(hosts=12) as planner:
+            relays = [self.relay(planner, ("sasp", "xds")[nth % 2], f"hall-{'abc'[nth % 3]}/r{nth}") for nth in range(many)]
+            await until(lambda: all(len(tables.lines["setpoint"]) >= 4 for tables, *_ in relays), 20)
+            for tables, *_ in relays:
+                tables.changed = lambda name, tables=tables: tables.lines[name] or bare.append(name)
+            planner.service.cease()
+            await asyncio.sleep(0.3)
+            planner.service = assemble(Charter(planner.document, planner.folder.name))
+            for tables, client, *_ in relays:
+                front = planner.service.fronts[isinstance(client, XdsClient)]
+                client.planners = lambda front=front: [("127.0.0.1", front.port())]
+            await until(lambda: len(planner.service.front_of) == many, 20)
+            planner.keep(host_5="draining")
+            await until(lambda: all(("127.0.0.1", 9005) not in tables.lines["reading"] for tables, *_ in relays), 10)
+            channel, service = planner.service.charter.channel, planner.service
+            self.assertEqual(bare, [])
+            self.assertLess(service.desk.most_waiting, channel["waiting_most"])
+            self.assertLessEqual(max(len(held.written) for held in service.allowances.values()), channel["messages_most"])
+            for _, client, *_ in relays:
+                client.leave()
+            await asyncio.gather(*(task for _, _, task, _ in relays))
+
+
+def await_error(call, code, details):
+    return grpc.aio.AioRpcError(code, None, None, details)
+
+
 class Conversation(unittest.IsolatedAsyncioTestCase):
     async def test_one_scripted_conversation_over_both_protocols(self):
         structlog.configure(processors=[lambda *_: (_ for _ in ()).throw(structlog.DropEvent)])
