--- a/indigodeck/fronts/xds/server.py
+++ b/indigodeck/fronts/xds/server.py
@@ -34,11 +34,14 @@
         ended, why = grpc.StatusCode.UNAVAILABLE, "this relay is spoken to elsewhere now"
         try:
             await asyncio.wait([self.task])
-            if not self.task.cancelled() and isinstance(self.task.exception(), streams.TooMuch):
-                ended, why = grpc.StatusCode.RESOURCE_EXHAUSTED, str(self.task.exception())
-                self.front.note("refused", peer=self.relay.uid if self.relay else None, why=why)
-            elif not self.task.cancelled() and self.task.exception() is None:
+            error = None if self.task.cancelled() else self.task.exception()
+            if error is None and not self.task.cancelled():
                 return
+            if isinstance(error, streams.TooMuch):
+                ended, why = grpc.StatusCode.RESOURCE_EXHAUSTED, str(error)
+                self.front.note("refused", peer=self.relay.uid if self.relay else None, why=why)
+            elif error is not None and not isinstance(error, streams.Elsewhere):
+                raise error
         finally:
             self.task.cancel()
             if self.writer is not None:
@@ -77,8 +80,12 @@
                 while wait := allowance.order_in(self.front.service.now()):
                     await asyncio.sleep(wait / SECOND)
                 self.relay.take()       # the newest, after whatever it waited for
-                kind = self.stream.news()
+                # Answers to subscriptions have a part of the limit: a relay that asks for ever delays no order to it.
+                wait = allowance.answer_in(self.front.service.now())
+                kind = self.stream.news(only=(codec.ENDPOINTS,) if wait else codec.KINDS)
                 if kind is None:
+                    if wait:
+                        asyncio.get_running_loop().call_later(wait / SECOND, self.wanted.set)
                     break
                 # What answers a subscription is told apart from orders: only endpoints change by themselves.
                 allowance.wrote(self.front.service.now(), answer=kind != codec.ENDPOINTS)
--- a/indigodeck/fronts/xds/streams.py
+++ b/indigodeck/fronts/xds/streams.py
@@ -176,10 +176,10 @@
 
     # What goes out.
 
-    def news(self):
-        """Sends the next response that is due, if any: additions before what leads to them, removals after it.
-        The type that was sent, or None."""
-        return next((kind for kind in KINDS if self._send(kind)), None)
+    def news(self, only=KINDS):
+        """Sends the next response that is due, if any, of these types: additions before what leads to them, removals
+        after it. The type that was sent, or None."""
+        return next((kind for kind in KINDS if kind in only and self._send(kind)), None)
 
     def _later(self, kind):
         """Whether something that may still lead to resources of this type is to be sent or acknowledged first."""
