A list service that must be asked is asked again and again; asked at start it no longer fails

Cause: found by trying the mode that no test covered: the assigner asks while it is made, which failed, and after the first answer nobody asked again, so the list would have stood still.

Change: questions are repeated while they succeed, and after failures when the assigner says; a test for both kinds of service, late and refusing for a while.

Measured: drains and losses are followed over both within the test's bounds.

--- a/indigodeck/planner/service.py
+++ b/indigodeck/planner/service.py
@@ -40,7 +40,8 @@
         self.relays, self.servers, self.places = Door(), Door(), {}
         self.front_of, self.fronts, self.contact, self.numbers_of, self.hall_of = {}, [], {}, {}, {}
         self.roster = lists.Roster(self, self.servers, charter.halls, charter.kinds, self.clock_gap)
-        self.desk = None
+        # The assigner asks for the list as it is made.
+        self.desk, self.asking, self.ending = None, False, False
         self.desk = Desk(self, charter.stated, charter.seed, make)
         reports = charter.reports
         self.evidence = Evidence(self.desk, charter.stated, reports.get("probes_per_s", 20),
@@ -52,7 +53,7 @@
         self.reach = reach or HttpReach(reports, (safe or charter.classes)[0])
         self.patience = min(kind["patience"] for kind in charter.stated["classes"])
         self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=8, max_body_size=LARGEST_LIST)
-        self.tasks, self.ending, self.last_text, self.asking = [], False, None, False
+        self.tasks, self.last_text = [], None
         self.seen = None
         self.peers = None       # the other controllers, where there are any (serve.py)
 
@@ -227,8 +228,13 @@
         try:
             answer = await self.client.fetch(self.charter.roster["service"] + "/roster", request_timeout=2)
             self.roster.whole(lists.read(answer.body))
+            if self.charter.roster.get("asked") and not self.ending:
+                # It tells only who asks, so a subscription is a question again and again; after a failure the
+                # assigner says when.
+                self.later(round(self.charter.roster.get("look_every_ms", 1000) * 1000), self.ask)
         except (OSError, UnicodeDecodeError, BadDocument, HTTPClientError) as error:
             self.log.warning("list not read", why=str(error))
+            self.asking = False
             self.desk.list_failed()
         finally:
             self.asking = False
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -21,6 +21,7 @@
 from indigodeck.serve import assemble
 from indigodeck.standins import day
 from indigodeck.standins.host import Yard
+from indigodeck.standins.keeper import Keeper
 
 ROOT = pathlib.Path(__file__).parent.parent
 EXAMPLE = json.loads((ROOT / "examples/bad-day.json").read_text())
@@ -221,6 +222,31 @@
                 for host in yard.hosts.values():
                     await host.shut()
 
+    async def test_the_list_from_a_service_that_pushes_or_is_asked_and_fails_for_a_while(self):
+        for asked in (False, True):
+            with self.subTest(asked=asked):
+                keeper = Keeper(late=100_000)
+                port = keeper.listen()
+                hosts = [{"id": f"host-{nth}", "address": "127.0.0.1", "port": 9000 + nth, "state": "ready"} for nth in range(6)]
+                keeper.say(hosts)
+                planner = Planner()
+                planner.document["roster"] = {"service": f"http://127.0.0.1:{port}", "asked": asked, "look_every_ms": 50}
+                async with planner:
+                    tables, client, task = planner.client()
+                    await until(lambda: ports(tables) == set(range(6)))
+                    keeper.set(dict(hosts[1], state="draining"))
+                    await until(lambda: ports(tables) == {0, 2, 3, 4, 5})
+                    keeper.refusing = True
+                    await until(lambda: planner.said("list not read") or planner.said("list not followed"))
+                    keeper.set(dict(hosts[2], state="gone"))
+                    await asyncio.sleep(0.3)
+                    self.assertEqual(ports(tables), {0, 2, 3, 4, 5})
+                    keeper.refusing = False
+                    await until(lambda: 2 not in planner.service.desk.assigner.fleet, 12)
+                    client.leave()
+                    await task
+                keeper.server.stop()
+
     async def test_a_stall_is_caught_up_without_a_burst(self):
         async with Planner(channel={"messages_most": 30, "answers_most": 10}) as planner:
             tables, client, task = planner.client()
