One clock for all shells; what nothing called or read is gone

Cause: read over once more: the monotonic clock stood in seven places, and two methods of the desk and the SASP conversation, one of its front, three counters and an assignment were called or read by nothing.

Change: clock.py serves the service, the command, stand-ins, tests and a benchmark; the dead pieces are removed. Behaviour and assertions stay.

--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -17,6 +17,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent))
 
+from indigodeck.clock import now                     # noqa: E402
 from indigodeck.planner.charter import Charter      # noqa: E402
 from indigodeck.serve import assemble               # noqa: E402
 from indigodeck.standins.day import Crew            # noqa: E402
@@ -24,10 +25,6 @@
 HOSTS, DRAINS = 105, 40
 
 
-def now():
-    return time.monotonic_ns() // 1000
-
-
 def quantile(values, part):
     return sorted(values)[min(len(values) - 1, int(part * len(values)))]
 
--- a/indigodeck/cli.py
+++ b/indigodeck/cli.py
@@ -10,6 +10,7 @@
 import click
 import structlog
 
+from .clock import now
 from .schema import BadDocument
 
 FOUND, WRONG, UNREACHED = 1, 2, 3
@@ -136,7 +137,7 @@
     losses = []
 
     async def ask():
-        tables = Tables(names, lambda: time.monotonic_ns() // 1000)
+        tables = Tables(names, now)
         client = SaspClient(uid, [(address.strip("[]") or "127.0.0.1", int(port))], tables, failed=losses.append)
         task = asyncio.get_running_loop().create_task(client.run())
         until = time.monotonic() + wait
@@ -241,10 +242,6 @@
         click.echo(json.dumps(answer))
 
 
-def _clock():
-    return time.monotonic_ns() // 1000
-
-
 @standin.command()
 @click.option("--receipts", required=True, type=click.Path(dir_okay=False))
 @click.option("--work", default="{}", help="Core time of an exchange by class, in microseconds (JSON).")
@@ -252,7 +249,7 @@
     """Hosts over HTTP: {"do": "start", "host": "h1", "cores": 4, "slots": 8, "room": 64}."""
     from .standins.host import Yard
     with open(receipts, "w", buffering=1) as file:
-        asyncio.run(_obey(Yard(_clock, file, json.loads(work)).command))
+        asyncio.run(_obey(Yard(now, file, json.loads(work)).command))
 
 
 @standin.command()
@@ -261,7 +258,7 @@
     """Relays with their clients: {"do": "start", "until": .., "relay": {..}}."""
     from .standins.relay import Depot
     with open(outcomes, "w", buffering=1) as file:
-        asyncio.run(_obey(Depot(_clock, file).command))
+        asyncio.run(_obey(Depot(now, file).command))
 
 
 @standin.command()
@@ -274,7 +271,7 @@
 def stock(planner, uid, hall, names, rate, seconds):
     """The stock gRPC client as a relay; writes an outcome for each exchange as a JSON line."""
     from .standins.stock import drive
-    asyncio.run(drive(planner, uid, hall, names, rate, seconds, lambda line: click.echo(json.dumps(line)), _clock))
+    asyncio.run(drive(planner, uid, hall, names, rate, seconds, lambda line: click.echo(json.dumps(line)), now))
 
 
 @standin.command()
--- a/indigodeck/fronts/sasp/conversation.py
+++ b/indigodeck/fronts/sasp/conversation.py
@@ -273,11 +273,6 @@
                 groups.append((named, entries))
         return codec.send_weights(self.office.next_number(), groups) if groups else None
 
-    def forget_told(self):
-        """What was written may not have arrived: the next message is whole."""
-        for group in self.groups.values():
-            group.told = {where: None for where in group.told}
-
     def _whole(self, place):
         """All that a group's members are told, and kept as told."""
         group, lines = self.groups[place], self.desk.view(self.proxy, place)
--- a/indigodeck/fronts/sasp/server.py
+++ b/indigodeck/fronts/sasp/server.py
@@ -199,9 +199,6 @@
                     for group in conversation.groups.values() for where in places):
                 conversation.line.due()
 
-    def relays(self):
-        return sorted(uid.decode("utf-8", "replace") for uid in self.office.balancers)
-
     def cease(self):
         self.stop()
         for line in list(self.lines):
--- a/indigodeck/fronts/xds/streams.py
+++ b/indigodeck/fronts/xds/streams.py
@@ -4,7 +4,7 @@
 and its tables. Each stream keeps, for each type, what it subscribes to, what it was sent, what it acknowledged and what
 it refused. (The xDS REST and gRPC protocol, as published with the data plane API; docs/xds.md.)
 """
-from collections import OrderedDict, deque
+from collections import OrderedDict
 
 from . import codec
 from .codec import CLUSTER, ENDPOINTS, KINDS, LISTENER, ROUTE
@@ -237,7 +237,7 @@
 
     def __init__(self, uid, proxy, shelf, desk, clerk, bounds):
         self.uid, self.proxy, self.shelf, self.desk, self.clerk, self.bounds = uid, proxy, shelf, desk, clerk, bounds
-        self.streams, self.refusals = [], deque(maxlen=16)
+        self.streams = []
         self.serial, self.parcels = 0, []
 
     def opened(self, line, delta):
@@ -256,7 +256,6 @@
         return f"{self.clerk.epoch(self.proxy)}.{self.serial}"
 
     def refused(self, kind, versions, error):
-        self.refusals.append((self.desk.now(), kind, dict(versions), error))
         self.clerk.note("refused by a relay", relay=self.uid, kind=kind.rpartition(".")[2], why=error[:500],
                         resources=sorted(versions))
 
--- a/indigodeck/planner/desk.py
+++ b/indigodeck/planner/desk.py
@@ -156,15 +156,6 @@
         holding.waiting, holding.since, holding.marks = {}, None, []
         return parcel
 
-    def put_back(self, parcel):
-        """A parcel that could not be written: it waits again, with whatever came meanwhile."""
-        holding = self.holdings.get(parcel.proxy)
-        if holding is not None:
-            for place in parcel.places:
-                holding.touch(parcel.since, place, ())
-            holding.since = min(parcel.since, holding.since)
-            holding.marks[:0] = parcel.marks
-
     def view(self, proxy, place):
         """The lines {server: weight} that a proxy should hold for a class; None while it is bound to no
         table, and follows what it held before, but for what is withdrawn."""
--- a/indigodeck/planner/roster.py
+++ b/indigodeck/planner/roster.py
@@ -31,14 +31,13 @@
         self.host, self.door, self.clock_gap = host, door, clock_gap
         self.halls = {name: place for place, name in enumerate(halls)}
         self.kinds = {name: place for place, name in enumerate(kinds)}
-        self.version, self.epoch, self.left_aside = None, 0, 0
+        self.version, self.epoch = None, 0
         self.hosts, self.quiet = {}, set()
 
     def whole(self, document):
         if self.version is not None and document["version"] < self.version:
             # A service that starts again may count from the start again; its epoch says so.
             if document.get("epoch", 0) <= self.epoch:
-                self.left_aside += 1
                 return self.host.note(f"list {document['version']} is older than {self.version}: left aside")
         first, self.version, self.epoch = self.version is None, document["version"], document.get("epoch", 0)
         self.hosts = {host["id"]: host for host in document["hosts"] if host["state"] != "gone"}
--- a/indigodeck/planner/service.py
+++ b/indigodeck/planner/service.py
@@ -15,6 +15,7 @@
 
 from . import roster as lists
 from ..choice import Assigner
+from ..clock import now
 from ..schema import BadDocument
 from .allowance import Allowance
 from .desk import Desk, Door
@@ -27,16 +28,12 @@
 LARGEST_LIST = 16 << 20
 
 
-def monotonic():
-    return time.monotonic_ns() // 1000
-
-
 class Service:
     """Everything that one planner runs. `make` hosts another policy on the same desk, for baselines."""
 
     def __init__(self, charter, make=Assigner, reach=None):
         self.charter, self.log = charter, structlog.get_logger()
-        self.clock_gap = time.time_ns() // 1000 - monotonic()
+        self.clock_gap = time.time_ns() // 1000 - now()
         self.relays, self.servers, self.places = Door(), Door(), {}
         self.front_of, self.fronts, self.contact, self.numbers_of, self.hall_of = {}, [], {}, {}, {}
         self.roster = lists.Roster(self, self.servers, charter.halls, charter.kinds, self.clock_gap)
@@ -60,7 +57,7 @@
     # What the desk may ask of the program.
 
     def now(self):
-        return monotonic()
+        return now()
 
     def later(self, after, call):
         IOLoop.current().call_later(after / SECOND, call)
@@ -234,7 +231,6 @@
                 self.later(round(self.charter.roster.get("look_every_ms", 1000) * 1000), self.ask)
         except (OSError, UnicodeDecodeError, BadDocument, HTTPClientError) as error:
             self.log.warning("list not read", why=str(error))
-            self.asking = False
             self.desk.list_failed()
         finally:
             self.asking = False
--- a/indigodeck/standins/controllers.py
+++ b/indigodeck/standins/controllers.py
@@ -5,8 +5,8 @@
 import signal
 import socket
 import sys
-import time
 
+from ..clock import now
 from ..client import Tables
 from ..client.sasp import SaspClient
 from ..client.xds import XdsClient
@@ -14,10 +14,6 @@
 ROOT = pathlib.Path(__file__).parent.parent.parent
 
 
-def now():
-    return time.monotonic_ns() // 1000
-
-
 def free_ports(many):
     """Ports from the kernel, held until all are known."""
     held = [socket.create_server(("127.0.0.1", 0)) for _ in range(many)]
--- a/indigodeck/standins/conversation.py
+++ b/indigodeck/standins/conversation.py
@@ -11,6 +11,7 @@
 import time
 
 from ..chance import Chance
+from ..clock import now
 from ..client import Tables
 from ..client.sasp import SaspClient
 from ..client.tables import Redial
@@ -22,10 +23,6 @@
 CLIENTS = {"sasp": SaspClient, "xds": XdsClient}
 
 
-def now():
-    return time.monotonic_ns() // 1000
-
-
 class Party:
     """One client, over one protocol, behind a way of its own."""
 
@@ -69,8 +66,7 @@
         await asyncio.sleep(0.2)
 
     def port(self, wire):
-        fronts = dict(zip(self.service.charter.fronts, self.service.fronts))
-        return lambda: ("127.0.0.1", dict(zip(self.service.charter.fronts, self.service.fronts))[wire].port()) if fronts else None
+        return lambda: ("127.0.0.1", dict(zip(self.service.charter.fronts, self.service.fronts))[wire].port())
 
     async def play(self):
         """The trace of each protocol: a list of lines."""
--- a/indigodeck/standins/day.py
+++ b/indigodeck/standins/day.py
@@ -14,6 +14,7 @@
 from tornado.gen import sleep
 
 from ..chance import Chance
+from ..clock import now
 from ..planner.charter import Charter
 from ..schema import BadDocument, shipped, wrong
 from . import audit
@@ -28,10 +29,6 @@
               "balancer_roll": "planner_killed", "balancer_stall": "planner_stalled", "counter_down": "relay_cut"}
 
 
-def now():
-    return time.monotonic_ns() // 1000
-
-
 def from_bench(troubles):
     """Troubles (kind, at, len, part, size; times in seconds) as a bench day has them, as ours, and the kinds
     that have no counterpart."""
--- a/indigodeck/takeover/peers.py
+++ b/indigodeck/takeover/peers.py
@@ -34,7 +34,7 @@
         super().__init__(max_buffer_size=4 * messages.LONGEST)
         self.service, self.me, self.key, self.file = service, me, key, file
         self.peers = {name: Peer(place) for name, place in places.items() if name != me}
-        self.ending, self.refused = False, 0
+        self.ending = False
         self.charge = Charge(self, me, list(places), wards, lease, drift, chance, life, file.read())
         self.add_sockets(bind_sockets(places[me][1], places[me][0]))
         for peer in self.peers.values():
@@ -105,7 +105,6 @@
                     getattr(self.charge, CALLS[kind])(source, **fields)
         except messages.Refused as error:
             # One line for each connection, which ends: who is not of this fleet can't fill the log through one.
-            self.refused += 1
             self.service.note("refused a controller", peer=address[0], why=str(error))
         except (StreamClosedError, TooLate, OSError):
             pass
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -14,6 +14,7 @@
 
 import structlog
 
+from indigodeck.clock import now
 from indigodeck.client import Malfunction, Refused, Tables, Unreachable
 from indigodeck.client.sasp import SaspClient
 from indigodeck.fronts.sasp import codec
@@ -27,10 +28,6 @@
 EXAMPLE = json.loads((ROOT / "examples/bad-day.json").read_text())
 
 
-def now():
-    return time.monotonic_ns() // 1000
-
-
 class Planner:
     """A planner in this process, with a roster file of its own and its log kept."""
 
