--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -79,8 +79,9 @@
     for many in sizes:
         results.append(await measure(takeovers, many))
         print(json.dumps(results[-1]), flush=True)
+    size = "-".join(map(str, sizes))
     kept = {"what": "takeovers of a stopped controller", "machine": f"{os.cpu_count()} cores, {platform.python_version()}", "lease_s": 0.6, "results": results}
-    (ROOT / "benchmarks/results/takeover.json").write_text(json.dumps(kept, indent=1) + "\n")
+    (ROOT / f"benchmarks/results/takeover-{size}.json").write_text(json.dumps(kept, indent=1) + "\n")
 
 
 if __name__ == "__main__":
--- a/indigodeck/client/sasp.py
+++ b/indigodeck/client/sasp.py
@@ -106,7 +106,7 @@
                 self.failed(error)
             if self.talk is not None and self.talk.brought:
                 self.redial.held()
-            await sleep(self.redial.failed() / SECOND)
+            await sleep(self.redial.failed(len(places)) / SECOND)
 
     async def _follow(self, place):
         loop = IOLoop.current()
--- a/indigodeck/client/tables.py
+++ b/indigodeck/client/tables.py
@@ -116,10 +116,14 @@
     def __init__(self, chance, first=200_000, most=5_000_000):
         self.chance, self.first, self.most, self.failures = chance, first, most, 0
 
-    def failed(self):
-        """Microseconds to wait before the next call."""
-        bound = min(self.most, self.first << min(self.failures, 16))
+    def failed(self, places=1):
+        """Microseconds to wait before the next call. Each of the places is tried once before the wait grows: of several
+        controllers all but one refuse, and who waits after each is without orders for most of a takeover."""
+        round_, nth = divmod(self.failures, max(1, places))
         self.failures += 1
+        if nth < places - 1:
+            return self.chance.below(self.first // 4)
+        bound = min(self.most, self.first << min(round_, 16))
         return bound // 4 + self.chance.below(bound - bound // 4)
 
     def held(self):
--- a/indigodeck/client/xds.py
+++ b/indigodeck/client/xds.py
@@ -114,7 +114,7 @@
                 self.failed(error)
             if self.talk is not None and self.talk.brought:
                 self.redial.held()
-            await asyncio.sleep(self.redial.failed() / SECOND)
+            await asyncio.sleep(self.redial.failed(len(places)) / SECOND)
 
     @staticmethod
     def _error(caught):
@@ -147,8 +147,9 @@
                 response = await asyncio.wait_for(self.stream.read(), due)
                 if response is grpc.aio.EOF:
                     raise OSError("the planner ended the stream")
+                answer = talk.read(response)
                 self.witness("message", [read(resource.resource.value)[:2] for resource in response.resources])
-                await self.stream.write(talk.read(response))
+                await self.stream.write(answer)
         finally:
             self.witness("left", [])
             reporter.cancel()
--- a/indigodeck/standins/relay.py
+++ b/indigodeck/standins/relay.py
@@ -48,7 +48,8 @@
 
     def _seen(self, what, tables):
         """What passed the relay's own end of a stream that no tap can read."""
-        self.write({"at": self.now(), "relay": self.uid, "seen": what, "tables": tables})
+        self.write({"at": self.now(), "relay": self.uid, "seen": what, "tables": tables, "epoch": self.tables.epoch,
+                    "to": self.wire.dials % len(self.stated["planners"])})
 
     def _gap(self):
         return -math.log((1 + self.chance.below(1 << 30)) / (1 << 30)) / self.stated["rate"]
--- a/indigodeck/standins/tap.py
+++ b/indigodeck/standins/tap.py
@@ -23,13 +23,16 @@
     relay: str
     what: str
     data: bytes
+    by: str = ""       # which controller, where there are several
+    epoch: int = 0     # under which an order came, where orders say
 
 
 class Tap(TCPServer):
     """`planner()`: where it listens now, or None."""
 
-    def __init__(self, now, planner, legible=True):
+    def __init__(self, now, planner, legible=True, by=""):
         super().__init__()
+        self.by = by
         self.legible = legible      # whether what passes is SASP, and can be read
         self.now, self.planner, self.seen, self.streams, self.deaf = now, planner, [], {}, {}
         self.bytes_sent, self.mode, self.everyone = 0, "pass", set()
@@ -68,7 +71,7 @@
             pass
         finally:
             if said["uid"]:
-                self.seen.append(Seen(self.now(), said["uid"], "left", b""))
+                self.seen.append(Seen(self.now(), said["uid"], "left", b"", self.by))
                 self.streams.pop(said["uid"], None)
             planner.close()
             relay.close()
@@ -93,9 +96,9 @@
                 break
             if said["uid"] and not said.get("joined"):
                 said["joined"] = True
-                self.seen.append(Seen(self.now(), said["uid"], "joined", b""))
+                self.seen.append(Seen(self.now(), said["uid"], "joined", b"", self.by))
             self.bytes_sent += whole
-            self.seen.append(Seen(self.now(), said["uid"] or "", "message", data[:whole]))
+            self.seen.append(Seen(self.now(), said["uid"] or "", "message", data[:whole], self.by))
             data = data[whole:]
         return data
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -53,6 +53,24 @@
             self.day.outcomes.append({"at": at * SECOND, "relay": "r1", "class": "read", "outcome": "nowhere", "asked": 1, "earned": 0})
         self.assertIn((7.0, "r1"), self.broken()["no proxy without a server"])
 
+    def test_orders_of_two_controllers(self):
+        self.day.seen = [Seen(SECOND, "r1", "joined", b"", "c1")]
+        self.day.charges = [(0, 16, "c1"), (3 * SECOND, 33, "c2")]
+        told = codec.send_weights(1, [((b"r1", b"read"), [Entry(WEB, 5, CONFIDENT)])])
+        refused = codec.send_weights(1, [])
+
+        def see(at, what, by, data=b"", epoch=0):
+            self.day.seen.append(Seen(round(at * SECOND), "r1", what, data, by, epoch))
+        see(2, "message", "c1", told)
+        see(3.5, "message", "c1", refused)
+        see(4, "joined", "c2")
+        see(4.1, "message", "c2", told, 33)
+        self.assertEqual(self.broken(), {})
+        see(4.5, "message", "c1", told)         # nobody follows it any more, and another is in charge
+        see(4.6, "message", "c2", told, 16)
+        self.assertEqual(self.broken(), {"one controller in charge": [(4.5, "c1")],
+                                         "each relay follows one controller": [(4.5, "r1"), (4.5, "r1"), (4.6, "r1")]})
+
     def test_a_repeated_effect(self):
         self.receive(3)
         self.receive(4, host="h2")
