--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -16,6 +16,7 @@
 
 from indigodeck.chance import Chance                          # noqa: E402
 from indigodeck.client import Tables                          # noqa: E402
+from indigodeck.client.tables import Redial                   # noqa: E402
 from indigodeck.client.xds import Refused, Talk, XdsClient    # noqa: E402
 from indigodeck.fronts.xds import codec                       # noqa: E402
 from indigodeck.takeover import messages, model               # noqa: E402
@@ -269,6 +270,14 @@
         alone.granted("c")
         self.assertFalse(alone.charge.may_write("fleet", epoch))
 
+    def test_a_relay_tries_all_controllers_before_it_waits_longer(self):
+        redial = Redial(Chance(3))
+        waits = [redial.failed(3) for _ in range(15)]
+        self.assertLess(max(waits[0], waits[1], waits[9], waits[10]), redial.first // 4)
+        self.assertGreater(waits[14], redial.first)
+        alone = Redial(Chance(3))
+        self.assertGreaterEqual(min(alone.failed() for _ in range(6)), alone.first // 4)
+
     def test_a_relay_refuses_an_epoch_below_the_highest_it_has_seen(self):
         tables = Tables(["read"], lambda: 0)
         talk = Talk(tables, {})
