--- a/indigodeck/standins/controllers.py
+++ b/indigodeck/standins/controllers.py
@@ -15,12 +15,13 @@
 
 
 def free_ports(many):
-    """Ports from the kernel, held until all are known."""
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(many)]
-    ports = [one.getsockname()[1] for one in held]
+    """(ports from the kernel, sockets that hold them until closed). Bound and not listening, they let a controller take its
+    port and nobody else: a port that was merely free a moment ago was taken by some connection now and then."""
+    held = [socket.socket() for _ in range(many)]
     for one in held:
-        one.close()
-    return ports
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        one.bind(("127.0.0.1", 0))
+    return [one.getsockname()[1] for one in held], held
 
 
 class Gate:
@@ -71,7 +72,7 @@
         self.place = lambda nth: 9000 + nth        # of a host that need not exist
         charter = json.loads(json.dumps(charter))
         all_of_them = members + spare
-        ports = free_ports(3 * all_of_them)
+        ports, self.held = free_ports(3 * all_of_them)
         self.members = {f"c{nth}": ports[nth] for nth in range(all_of_them)}
         self.wires = {f"c{nth}": {"sasp": ports[all_of_them + nth], "xds": ports[2 * all_of_them + nth]}
                       for nth in range(all_of_them)}
@@ -86,7 +87,7 @@
                            takeover={"me": name, "members": {other: f"127.0.0.1:{port}" for other, port in self.members.items()
                                                              if other in self.first or other == name},
                                      "key_file": "key", "record": f"{name}.record", "lease_ms": lease, "drift": 0.02,
-                                     "joins": name not in self.first, **(stated or {})})
+                                     **({} if name in self.first else {"joins": True}), **(stated or {})})
             charter["fronts"]["sasp"]["interval_s"] = 1
             charter["reports"] = {"period_ms": 1000, "probes_per_s": 0}
             charter["rules"]["gone_binds"] = True
@@ -123,11 +124,12 @@
             for nth, state in self.states.items()]}))
         path.with_suffix(".new").replace(path)
 
-    async def start(self, name):
+    async def start(self, name, program=ROOT):
+        """`program`: the folder of another version of it."""
         self.logs[name] = open(self.folder / f"{name}.log", "ab")
         self.processes[name] = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "indigodeck", "serve", "--charter", str(self.folder / f"{name}.json"),
-            stdout=self.logs[name], stderr=self.logs[name], cwd=ROOT)
+            stdout=self.logs[name], stderr=self.logs[name], cwd=program)
 
     def told(self, name):
         """What a controller logged of its charge: [(in or out, epoch)]"""
@@ -169,5 +171,5 @@
                 process.kill()
                 await process.wait()
             self.logs[name].close()
-        for gate in self.gates.values():
+        for gate in [*self.gates.values(), *self.held]:
             gate.close()
--- a/indigodeck/standins/fleet_day.py
+++ b/indigodeck/standins/fleet_day.py
@@ -21,7 +21,7 @@
     def __init__(self, script, folder, many=3, lease_ms=600, say=lambda text: None):
         super().__init__(script, folder, say=say)
         self.names = [f"c{nth}" for nth in range(many)]
-        ports, wire = free_ports(2 * many), script["relays"].get("wire", "sasp")
+        (ports, self.held), wire = free_ports(2 * many), script["relays"].get("wire", "sasp")
         self.ports = dict(zip(self.names, ports))
         (self.folder / "key").write_text("a key for a day, shared by all of them")
         for nth, name in enumerate(self.names):
@@ -56,6 +56,13 @@
                 return
         raise RuntimeError("nobody is in charge")
 
+    async def play(self):
+        try:
+            return await super().play()
+        finally:
+            for one in self.held:
+                one.close()
+
     def charges(self):
         """[(moment, epoch, controller)] as their own logs say."""
         gap, found = datetime.datetime.now().timestamp() * SECOND - now(), []
