Controllers say that they run, so that the next in order takes over alone

Members that held nothing never heard of each other: each showed as suspected, and all tried at once when the holder stopped.

--- a/indigodeck/takeover/charge.py
+++ b/indigodeck/takeover/charge.py
@@ -94,6 +94,7 @@
         self.seen, self.heard_at, self.numbers = {}, {}, {}     # of others: highest serial, last heard, fleet's number
         self.began, self.answers, self.remembers = host.now(), set(), False
         self.adopted_at, self.proposed_plan, self.accepts, self.asked_for = host.now(), None, set(), None
+        self.here_at = host.now()
         self.taught_at, self.resting, self.stepped = {}, {}, {}
         self.hello, self.rounds = life << 24, life << 24
         self._greet()
@@ -140,6 +141,12 @@
             self.host.send(member, "tell", hello=hello, epochs=self._epochs(), serial=self.seen.get(member, 0),
                            number=self.number, members=self.members, plan=self.record.plan)
 
+    def here(self, member, number):
+        """Another member runs, by that number of the fleet."""
+        self._heard(member, number)
+        if number < self.number:
+            self._teach(member)
+
     def _heard(self, member, number=None):
         self.heard_at[member] = self.host.now()
         if number is not None:
@@ -239,11 +246,12 @@
         return sorted(self.members, key=lambda member: (seed_from(ward, [b"/", member.encode()]), member))
 
     def wanted(self, ward):
-        """Whether this member should try for a ward: it goes to the first in order of those that were heard of lately;
-        others try when nobody is known to hold it for long."""
-        now, rest = self.host.now(), self.resting.get(ward, 0)
+        """Whether this member should try for a ward: it goes to the first in order of those that were heard of lately and
+        did not just let it lapse; others try when nobody is known to hold it for long."""
+        now, rest, grant = self.host.now(), self.resting.get(ward, 0), self.grants[ward]
+        lapsed = grant.holder if grant.until <= now < grant.until + 2 * self.lease else None
         alive = [member for member in self.order(ward) if now >= self.stepped.get((ward, member), 0) and (
-            member == self.me or self._alive(member))]
+            member == self.me or member != lapsed and self._alive(member))]
         return now >= rest and (self.me in alive[:1] or self._vacant(ward) > 2 * self.lease)
 
     def _alive(self, member):
@@ -256,6 +264,11 @@
     def woken(self):
         self.host.later(self._tick())
         now = self.host.now()
+        if self.me in self.members and now - self.here_at >= self.lease // 2:
+            # Members that hold nothing would else never hear of each other, and all try at once when the holder stops.
+            self.here_at = now
+            for member in self._others():
+                self.host.send(member, "here", number=self.number)
         if not self.settled() and (self.me in self.members or now - self.greeted_at >= self.lease):
             self._greet()
         for ward in self.wards:
@@ -521,9 +534,10 @@
 
 
 # What another member's message is called, and what it is to this one.
-CALLS = {"greet": Charge.greeted.__name__, "tell": Charge.told.__name__, "ask": Charge.asked.__name__,
-         "grant": Charge.granted.__name__, "deny": Charge.denied.__name__, "release": Charge.released.__name__,
-         "propose": Charge.proposed.__name__, "accept": Charge.accepted.__name__, "members": Charge.members_are.__name__}
+CALLS = {"here": Charge.here.__name__, "greet": Charge.greeted.__name__, "tell": Charge.told.__name__,
+         "ask": Charge.asked.__name__, "grant": Charge.granted.__name__, "deny": Charge.denied.__name__,
+         "release": Charge.released.__name__, "propose": Charge.proposed.__name__, "accept": Charge.accepted.__name__,
+         "members": Charge.members_are.__name__}
 
 
 def heard(charge, member, kind, fields):
--- a/indigodeck/takeover/messages.py
+++ b/indigodeck/takeover/messages.py
@@ -21,7 +21,7 @@
        "release": {"ward", "epoch"}, "fleet": set(), "hand over": {"ward"}, "answer": {"said"}}
 ADDED = {"greet": {"number"}, "tell": {"number", "members", "plan"}, "ask": {"number"}, "grant": {"number", "plan"},
          "deny": {"number", "holder"}}
-NEW = {"propose": {"number", "epoch", "members"}, "accept": {"number", "epoch", "epochs"},
+NEW = {"here": {"number"}, "propose": {"number", "epoch", "members"}, "accept": {"number", "epoch", "epochs"},
        "members": {"number", "members", "epochs"}, "refusals": {"held"},
        "change": {"members"}, "force": {"members"}, "followers": {"after"}}
 KINDS = {1: OLD, 2: {**{kind: fields | ADDED.get(kind, set()) for kind, fields in OLD.items()}, **NEW}}
