--- a/indigodeck/standins/day.py
+++ b/indigodeck/standins/day.py
@@ -354,8 +354,8 @@
         day.seen += [seen for tap in self.taps() for seen in tap.seen if seen.relay]
         self.audited = day
         verdicts, service = day.verdicts(), day.service()
-        waiting = [json.loads(line).get("most_waiting", 0) for line in (self.folder / "planner.log").read_text().splitlines()
-                   if line.startswith("{") and "most_waiting" in line]
+        waiting = [json.loads(line).get("most_waiting", 0) for path in sorted(self.folder.glob("*.log"))
+                   for line in path.read_text().splitlines() if line.startswith("{") and "most_waiting" in line]
         return {"policy": self.policy, "wire": self.script["relays"].get("wire", "sasp"), "seconds": self.script["seconds"],
                 "rules": [{"rule": verdict.rule, "kept": verdict.kept, "worst": verdict.worst, "limit": verdict.limit,
                            "unit": verdict.unit, "cases": [{"at_s": round(day.moment(at), 3), "who": who, "what": what}
