--- a/indigodeck/client/xds.py
+++ b/indigodeck/client/xds.py
@@ -127,9 +127,10 @@
 
     async def _follow(self, place):
         # Keepalive finds a planner that stands still, by pings that its library answers. How long one may take is a
-        # setting of its own in grpcio, a minute if left out: a stopped planner was held on to for that long.
+        # setting of its own in grpcio, a minute if left out: a stopped planner was held on to for that long. The period
+        # counts as well: at 2 s beside a patience of 1 s, drains came too late to those that followed a stopped one.
         self.channel = grpc.aio.insecure_channel(f"{place[0]}:{place[1]}", options=[
-            ("grpc.keepalive_time_ms", 2000), ("grpc.http2.max_pings_without_data", 0),
+            ("grpc.keepalive_time_ms", max(1000, round(self.patience * 500))), ("grpc.http2.max_pings_without_data", 0),
             ("grpc.keepalive_permit_without_calls", 1), ("grpc.http2.ping_timeout_ms", round(self.patience * 1000)),
             ("grpc.keepalive_timeout_ms", round(self.patience * 1000)),
             ("grpc.use_local_subchannel_pool", 1), ("grpc.enable_retries", 0)])
--- a/indigodeck/fronts/xds/server.py
+++ b/indigodeck/fronts/xds/server.py
@@ -110,7 +110,7 @@
         self.options = [
             ("grpc.max_receive_message_length", stated.get("message_bytes", 1 << 20)),
             ("grpc.keepalive_time_ms", keep), ("grpc.keepalive_timeout_ms", keep), ("grpc.so_reuseport", 0),
-            ("grpc.http2.min_ping_interval_without_data_ms", 1000), ("grpc.keepalive_permit_without_calls", 1)]
+            ("grpc.http2.min_ping_interval_without_data_ms", 300), ("grpc.keepalive_permit_without_calls", 1)]
         self.server, self.bound, self.address, self.reports_read = None, None, None, 0
         self.open, self.turning = True, asyncio.Lock()
 
