Both clients dial through one loop

SaspClient.run and XdsClient.run were the same loop around another stream; it stands once, in client/dialling.py, and each says which errors mean a lost planner and what they are called. What nothing called is gone (Talk.leaving, an event, a task).

--- a/indigodeck/client/sasp.py
+++ b/indigodeck/client/sasp.py
@@ -2,15 +2,12 @@
 from tornado.gen import sleep, with_timeout
 from tornado.ioloop import IOLoop
 from tornado.iostream import StreamClosedError
-from tornado.locks import Event
 from tornado.tcpclient import TCPClient
 from tornado.util import TimeoutError as TooLate
 
-from ..chance import Chance, seed_from
 from ..fronts.sasp import codec
-from .tables import Malfunction, Redial, Refused, Unreachable
-
-SECOND = 1_000_000
+from .dialling import Dialling
+from .tables import Malfunction, Refused, Unreachable
 
 
 class Talk:
@@ -33,9 +30,6 @@
         """A request for all weights: what a relay that polls lives by, and a sign of life for others."""
         return codec.get_weights(self._asks("weights"), [(self.uid, name.encode()) for name in self.classes])
 
-    def leaving(self):
-        return codec.deregister(self._asks("to leave"), True, 1, [])
-
     def _asks(self, what):
         self.number += 1
         self.waiting[self.number] = what
@@ -75,42 +69,23 @@
     register = deregister = get_weights = set_balancer = set_members = _unasked
 
 
-class SaspClient:
-    """Dials planners in turn and keeps tables up to date until `leave`. `planners`: [(address, port), ..], or a
-    call that gives them, asked at every dial; `failed(error)` is told of each loss."""
+class SaspClient(Dialling):
+    """Dials planners in turn and keeps tables up to date until `leave`."""
+
+    losses = (StreamClosedError, TooLate, OSError, Refused, Malfunction)
 
     def __init__(self, uid, planners, tables, members=(), push=True, patience=3.0, failed=None):
-        self.uid, self.tables, self.members = uid.encode(), tables, tuple(members)
-        self.planners = planners if callable(planners) else lambda: planners
-        self.push, self.patience, self.failed = push, patience, failed
-        self.chance = Chance(seed_from(uid, []))
-        self.redial, self.ended, self.stream, self.dials = Redial(self.chance), False, None, 0
-        self.talk, self.woken = None, Event()
-
-    async def run(self):
-        while not self.ended:
-            places = self.planners()
-            error = Unreachable("no planner is named")
-            if places:
-                try:
-                    await self._follow(places[self.dials % len(places)])
-                except (StreamClosedError, TooLate, OSError) as caught:
-                    error = Unreachable(str(caught) or "the planner stopped answering")
-                except (Refused, Malfunction) as caught:
-                    error = caught
-            self.dials += 1
-            self._close()
-            if self.ended:
-                return
-            if self.failed:
-                self.failed(error)
-            if self.talk is not None and self.talk.brought:
-                self.redial.held()
-            await sleep(self.redial.failed(len(places)) / SECOND)
+        super().__init__(uid, planners, tables, patience, failed)
+        self.uid, self.members, self.push = uid.encode(), tuple(members), push
+
+    @staticmethod
+    def _error(caught):
+        if isinstance(caught, (Refused, Malfunction)):
+            return caught
+        return Unreachable(str(caught) or "the planner stopped answering")
 
     async def _follow(self, place):
         loop = IOLoop.current()
-        self.talk = None
         self.stream = await TCPClient().connect(*place, timeout=self.patience, max_buffer_size=4 << 20)
         self.stream.set_nodelay(True)
         talk = self.talk = Talk(self.uid, list(self.tables.lines), self.members, self.tables, self.push)
@@ -145,14 +120,10 @@
         except StreamClosedError:
             pass
 
-    def _close(self):
-        if self.stream is not None:
-            self.stream.close()
+    async def _close(self):
+        self.drop()
 
     def drop(self):
         """Breaks the stream, as a network might; the client dials again."""
-        self._close()
-
-    def leave(self):
-        self.ended = True
-        self._close()
+        if self.stream is not None:
+            self.stream.close()
--- a/indigodeck/client/xds.py
+++ b/indigodeck/client/xds.py
@@ -7,10 +7,9 @@
 from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
 from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
 
-from ..chance import Chance, seed_from
-from .tables import Malfunction, Redial, Refused, Unreachable
+from .dialling import SECOND, Dialling
+from .tables import Malfunction, Refused, Unreachable
 
-SECOND = 1_000_000
 KIND = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
 DRAINING = 3        # of envoy.config.core.v3.HealthStatus
 WHOLE = (None, 0, True, True)      # of nobody: says that what stands beside it is a whole table
@@ -77,47 +76,26 @@
         return answer
 
 
-class XdsClient:
+class XdsClient(Dialling):
     """The same interface as `sasp.SaspClient`; `hall`: the relay's own. `report_to` takes exchanges' outcomes."""
 
+    # grpcio has the last for a write on a stream whose connection was refused meanwhile.
+    losses = (grpc.aio.AioRpcError, Refused, asyncio.TimeoutError, OSError, asyncio.CancelledError, asyncio.InvalidStateError)
+
     def __init__(self, uid, planners, tables, members=(), patience=3.0, failed=None, hall="", witness=None):
-        self.uid, self.tables, self.patience, self.failed = uid, tables, patience, failed
-        self.planners = planners if callable(planners) else lambda: planners
+        super().__init__(uid, planners, tables, patience, failed)
+        self.uid, self.names, self.channel = uid, {}, None
         self.node = base_pb2.Node(id=uid, locality=base_pb2.Locality(zone=hall))
-        self.chance = Chance(seed_from(uid, []))
-        self.redial, self.ended, self.dials, self.names = Redial(self.chance), False, 0, {}
-        self.talk, self.channel, self.task, self.stream = None, None, None, None
         self.witness = witness or (lambda what, tables: None)      # hears of each stream and each message
         self.met = {}       # (class, place): [succeeded, failed, time]
 
-    async def run(self):
-        while not self.ended:
-            places, error = self.planners(), Unreachable("no planner is named")
-            self.talk = None
-            if places:
-                try:
-                    await self._follow(places[self.dials % len(places)])
-                except grpc.aio.AioRpcError as caught:
-                    error = self._error(caught)
-                except Refused as caught:
-                    error = caught
-                except (asyncio.TimeoutError, OSError):
-                    error = Unreachable("the planner stopped answering")
-                except (asyncio.CancelledError, asyncio.InvalidStateError):
-                    # grpcio has the second for a write on a stream whose connection was refused meanwhile.
-                    error = Unreachable("the stream was broken")
-            self.dials += 1
-            await self._close()
-            if self.ended:
-                return
-            if self.failed:
-                self.failed(error)
-            if self.talk is not None and self.talk.brought:
-                self.redial.held()
-            await asyncio.sleep(self.redial.failed(len(places)) / SECOND)
-
     @staticmethod
     def _error(caught):
+        if isinstance(caught, Refused):
+            return caught
+        if not isinstance(caught, grpc.aio.AioRpcError):
+            stopped = isinstance(caught, (asyncio.TimeoutError, OSError))
+            return Unreachable("the planner stopped answering" if stopped else "the stream was broken")
         details = caught.details() or str(caught.code())
         if caught.code() == grpc.StatusCode.RESOURCE_EXHAUSTED:
             return Refused(details)
@@ -201,7 +179,3 @@
         """Breaks the stream, as a network might; the client dials again."""
         if self.stream is not None:
             self.stream.cancel()
-
-    def leave(self):
-        self.ended = True
-        self.drop()
