--- a/indigodeck/planner/desk.py
+++ b/indigodeck/planner/desk.py
@@ -127,14 +127,16 @@
 
     def _settle(self):
         """Orders of one call travel together: the outside hears of each proxy once."""
-        reached, self.reached = self.reached, set()
-        for proxy in sorted(reached & self.holdings.keys()):
+        reached, self.reached = sorted(self.reached & self.holdings.keys()), set()
+        for proxy in reached:
             self.holdings[proxy].marks.extend((number, self.outside.now()) for number in self.marked)
             # A proxy that reads nothing would gather marks for ever; the newest say all that is asked.
             del self.holdings[proxy].marks[:-64]
         self.marked = []
-        self.most_waiting = max(self.most_waiting, self.queue())
-        for proxy in sorted(reached & self.holdings.keys()):
+        if reached:
+            # The queue grows only by what is laid out for somebody; most calls of the assigner order nothing.
+            self.most_waiting = max(self.most_waiting, self.queue())
+        for proxy in reached:
             self.outside.due(proxy)
 
     # What fronts read.
--- a/indigodeck/takeover/charge.py
+++ b/indigodeck/takeover/charge.py
@@ -165,7 +165,7 @@
             self.host.note(f"record {self.record.serial} is older than {serial}, which {member} has seen")
             self.record = self.record._replace(serial=serial)
         if members is not None:
-            self._adopt(number, members, epochs)
+            self._adopt(number, members)
         if plan and number == self.number and plan[0] == number + 1 and (
                 not self.record.plan or plan[1] > self.record.plan[1]):
             # It may have accepted this, too, before it lost its disk: what is decided must not be forgotten.
@@ -187,7 +187,6 @@
 
     def asked(self, member, ward, epoch, round_, serial, number):
         """A member asks for a ward, or for more time with it."""
-        now = self.host.now()
         self._heard(member, number)
         self.seen[member] = max(self.seen.get(member, 0), serial)
         known, holder = self.known.get(ward, (0, None))
@@ -197,10 +196,8 @@
                 self._teach(member)
             return self.host.send(member, "deny", ward=ward, epoch=epoch, round=round_, highest=known,
                                   holder=holder or "", wait=why_not, number=max(0, self.number))
-        if self.record.wards.get(ward) != (epoch, member) and not self._granted_down(ward, epoch, member):
+        if not self._grant(member, ward, epoch):
             return None
-        grant = self.grants[ward]
-        grant.holder, grant.until = member, now + self._grants_for()
         return self.host.send(member, "grant", ward=ward, epoch=epoch, round=round_, serial=self.record.serial,
                               number=self.number, plan=self.record.plan if ward == self.wards[0] else None)
 
@@ -216,10 +213,14 @@
         renews = (epoch, member) in (known, self.record.wards.get(ward))
         return None if renews or epoch > known[0] else self.lease // 4
 
-    def _granted_down(self, ward, epoch, member):
-        if not self._keep(self.record._replace(wards=dict(self.record.wards, **{ward: (epoch, member)}))):
-            return False
-        self._learn({ward: (epoch, member)})
+    def _grant(self, member, ward, epoch):
+        """Grants it for a lease, written down first; False if that failed."""
+        if self.record.wards.get(ward) != (epoch, member):
+            if not self._keep(self.record._replace(wards=dict(self.record.wards, **{ward: (epoch, member)}))):
+                return False
+            self._learn({ward: (epoch, member)})
+        grant = self.grants[ward]
+        grant.holder, grant.until = member, self.host.now() + self._grants_for()
         return True
 
     def _keep(self, record):
@@ -299,11 +300,7 @@
         self._ask_myself(ward, epoch, bid)
 
     def _ask_myself(self, ward, epoch, bid):
-        if self._why_not(self.me, ward, epoch, self.number) is not None:
-            return
-        if self.record.wards.get(ward) == (epoch, self.me) or self._granted_down(ward, epoch, self.me):
-            grant = self.grants[ward]
-            grant.holder, grant.until = self.me, self.host.now() + self._grants_for()
+        if self._why_not(self.me, ward, epoch, self.number) is None and self._grant(self.me, ward, epoch):
             self._count(self.me, ward, epoch, bid.round, self.number, self.record.plan)
 
     def granted(self, member, ward, epoch, round_, serial, number, plan):
@@ -407,10 +404,9 @@
                 # One proposal an epoch, whatever is learned later.
                 self.proposed_plan, self.accepts = (self.number + 1, epoch, dict(members)), set()
             plan = self.proposed_plan
-            members = plan[2]
             for member in self._others():
                 if member not in self.accepts:
-                    self.host.send(member, "propose", number=plan[0], epoch=epoch, members=members)
+                    self.host.send(member, "propose", number=plan[0], epoch=epoch, members=plan[2])
             if self.me not in self.accepts and self._accepts(self.me, *plan):
                 self._accepted(self.me, plan)
         for member in self._others():
@@ -450,7 +446,7 @@
         self.accepts.add(member)
         if len(self.accepts) >= self._majority():
             before = dict(self.members)
-            self._adopt(plan[0], plan[2], self._epochs())
+            self._adopt(plan[0], plan[2])
             if self.number == plan[0]:
                 for name in sorted(before.keys() | self.members.keys()):
                     self.taught_at.pop(name, None)
@@ -469,12 +465,12 @@
         if number < self.number:
             return self._teach(member)
         self._learn(epochs)
-        return self._adopt(number, members, epochs)
+        return self._adopt(number, members)
 
-    def _adopt(self, number, members, epochs):
+    def _adopt(self, number, members):
+        """Takes a fleet that was decided, with all epochs that are known by now."""
         if number <= self.number:
             return
-        self._learn(epochs)
         wards = dict(self.record.wards)
         for ward, known in self.known.items():
             if known[0] > wards.get(ward, (0, None))[0]:
@@ -507,8 +503,8 @@
             return "it was never a member"
         # Two forced at once must not have one number; epochs are ahead of any that the others may have granted.
         ahead = FORCED + self.chance.below(FORCED)
-        epochs = {ward: (self.known.get(ward, (0, None))[0] + ahead * STRIDE, None) for ward in self.wards}
-        self._adopt(self.number + ahead, members, epochs)
+        self._learn({ward: (self.known.get(ward, (0, None))[0] + ahead * STRIDE, None) for ward in self.wards})
+        self._adopt(self.number + ahead, members)
         if self.members != members:
             return "the record could not be written"
         for member in self._others():
--- a/indigodeck/takeover/messages.py
+++ b/indigodeck/takeover/messages.py
@@ -10,6 +10,8 @@
 import hmac
 import json
 
+from .charge import MEMBERS_MOST
+
 VERSIONS = (1, 2)
 NEWEST = VERSIONS[-1]
 LONGEST = 64 * 1024
@@ -127,5 +129,5 @@
 
 
 def _members(value):
-    return isinstance(value, dict) and 1 <= len(value) <= 15 and all(
+    return isinstance(value, dict) and 1 <= len(value) <= MEMBERS_MOST and all(
         name and isinstance(place, str) and len(name) + len(place) <= 500 for name, place in value.items())
--- a/indigodeck/takeover/model.py
+++ b/indigodeck/takeover/model.py
@@ -24,8 +24,8 @@
 
     def __init__(self, world, name, rate, offset):
         self.world, self.name, self.rate, self.offset = world, name, rate, offset
-        self.charge, self.disk, self.unsynced, self.lives = None, None, None, 0
-        self.paused, self.waiting, self.copies, self.ended = False, [], [], False
+        self.charge, self.disk, self.lives = None, None, 0
+        self.paused, self.waiting, self.copies = False, [], []
 
     def start(self, record):
         self.lives += 1
@@ -117,11 +117,7 @@
             slow = self.faulty() and self.chance.below(100) < 5
             delay = 1000 + self.chance.below(3 * LEASE if slow else 50_000)
             seat = self.seats[target]
-            self.at(self.clock + delay, lambda: seat.run(seat.lives, lambda: self._hear(seat, source, kind, fields)))
-
-    @staticmethod
-    def _hear(seat, source, kind, fields):
-        heard(seat.charge, source, kind, fields)
+            self.at(self.clock + delay, lambda: seat.run(seat.lives, lambda: heard(seat.charge, source, kind, fields)))
 
     # What goes wrong.
 
--- a/indigodeck/takeover/peers.py
+++ b/indigodeck/takeover/peers.py
@@ -187,13 +187,12 @@
 
 async def ask(place, key, kind, **fields):
     """An operator's question to one controller; its answer. One that speaks only an older version is asked in that."""
-    for version in sorted(messages.VERSIONS, reverse=True):
-        try:
-            return await _ask(place, key, version, kind, **fields)
-        except StreamClosedError:
-            if version == 1 or not messages.sayable(kind, 1, fields):
-                raise
-    raise ValueError(kind)
+    try:
+        return await _ask(place, key, messages.NEWEST, kind, **fields)
+    except StreamClosedError:
+        if not messages.sayable(kind, 1, fields):
+            raise
+    return await _ask(place, key, 1, kind, **fields)
 
 
 async def _ask(place, key, version, kind, **fields):
