One writer of list files, one reader of charges; operators' commands ask the fleet once

Two benchmarks and two stand-ins each wrote the list's file by renaming: ListFile, beside the keeper, does. Count repeated Ear's methods.

--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -21,6 +21,7 @@
 from indigodeck.planner.charter import Charter      # noqa: E402
 from indigodeck.serve import assemble               # noqa: E402
 from indigodeck.standins.day import Crew            # noqa: E402
+from indigodeck.standins.keeper import ListFile     # noqa: E402
 
 HOSTS, DRAINS = 105, 40
 
@@ -39,16 +40,9 @@
     hosts = [{"id": f"host-{nth}", "address": "127.0.0.1", "port": 20_000 + nth, "hall": document["halls"][nth % 3],
               "kind": "std-4", "weight": 4, "state": "ready"} for nth in range(HOSTS)]
     with tempfile.TemporaryDirectory() as folder:
-        listed = {"version": 0}
-
-        def keep():
-            listed["version"] += 1
-            path = pathlib.Path(folder) / "roster.json"
-            path.with_suffix(".new").write_text(json.dumps({"version": listed["version"], "hosts": hosts}))
-            path.with_suffix(".new").replace(path)
-
+        listed = ListFile(folder)
         document["roster"] = {"file": "roster.json", "look_every_ms": 20}
-        keep()
+        listed.keep(hosts)
         service = assemble(Charter(document, folder))
         ordered, withdraw = {}, service.desk.withdraw
 
@@ -81,7 +75,7 @@
         cpu = time.process_time()
         for nth in range(DRAINS):
             hosts[nth]["state"] = "draining"
-            keep()
+            listed.keep(hosts)
             await asyncio.sleep(0.25)
         cpu = time.process_time() - cpu
         await asyncio.sleep(1)
--- a/benchmarks/wire_bytes.py
+++ b/benchmarks/wire_bytes.py
@@ -20,6 +20,7 @@
 from indigodeck.fronts.xds import codec                       # noqa: E402
 from indigodeck.planner.charter import Charter                # noqa: E402
 from indigodeck.serve import assemble                         # noqa: E402
+from indigodeck.standins.keeper import ListFile               # noqa: E402
 
 ROOT = pathlib.Path(__file__).parent.parent
 HOSTS = 105
@@ -90,15 +91,8 @@
     hosts = [{"id": f"host-{nth}", "address": "127.0.0.1", "port": 20_000 + nth, "hall": halls[nth % 3], "weight": 4,
               "state": "ready"} for nth in range(HOSTS)]
     with tempfile.TemporaryDirectory() as folder:
-        listed = {"version": 0}
-
-        def keep():
-            listed["version"] += 1
-            path = pathlib.Path(folder) / "roster.json"
-            path.with_suffix(".new").write_text(json.dumps({"version": listed["version"], "hosts": hosts}))
-            path.with_suffix(".new").replace(path)
-
-        keep()
+        listed = ListFile(folder)
+        listed.keep(hosts)
         service = assemble(Charter(document, folder))
         names = [kind["name"] for kind in document["classes"]]
         meters = {"whole": Meter(service.fronts[0], "hall-a/whole", False, names),
@@ -120,7 +114,7 @@
             for host in going[wave::5]:
                 host["state"] = "draining"
                 hosts.append(dict(host, id=host["id"] + "-new", port=host["port"] + 1000, state="ready"))
-            keep()
+            listed.keep(hosts)
             await settle(3)
         service.cease()
         await asyncio.sleep(0.1)
--- a/indigodeck/cli.py
+++ b/indigodeck/cli.py
@@ -163,7 +163,8 @@
 
 
 def _controllers(path):
-    """({member: (address, port)}, key) of a charter, and of members that its controllers have let in since."""
+    """({member: (address, port)}, key, {member: what it says of the fleet}) of a charter, and of members that its
+    controllers have let in since."""
     from .planner.charter import read
     from .serve import key_of
     from .takeover.peers import place_of
@@ -174,11 +175,10 @@
         places, key = {name: place_of(place) for name, place in charter.takeover["members"].items()}, key_of(charter)
     except (BadDocument, OSError) as error:
         fail(str(error))
-    for told in asyncio.run(_ask_all(places, key, "fleet")).values():
-        for name, member in told.get("members", {}).items():
-            if isinstance(member, dict):
-                places.setdefault(name, place_of(member["place"]))
-    return places, key
+    said = asyncio.run(_ask_all(places, key, "fleet"))
+    since = {name: place_of(member["place"]) for told in said.values() for name, member in told.get("members", {}).items()
+             if isinstance(member, dict) and name not in places}
+    return {**places, **since}, key, {**said, **asyncio.run(_ask_all(since, key, "fleet"))}
 
 
 async def _ask_all(places, key, kind, **fields):
@@ -207,8 +207,7 @@
     context.obj = _controllers(path)
     if context.invoked_subcommand:
         return
-    places, key = context.obj
-    said = asyncio.run(_ask_all(places, key, "fleet"))
+    places, key, said = context.obj
     followed = asyncio.run(_followers(places, key)) if relays else {}
     for name, names in followed.items():
         said[name]["relays"] = names
@@ -256,9 +255,8 @@
         yield f"{'':10} {ward:10} {held}"
 
 
-def _change(places, key, make):
+def _change(places, key, said, make):
     """Has whoever is in charge of the first ward change the members: `make({id: place})` gives the new ones."""
-    said = asyncio.run(_ask_all(places, key, "fleet"))
     holder = next((name for name, told in said.items() if any(
         state["held"] for state in list(told.get("wards", {}).values())[:1])), None)
     if holder is None:
@@ -305,11 +303,10 @@
 @click.pass_obj
 def force(controllers, names, others_are_gone):
     """Make NAMES the whole fleet without a majority, after the others are gone for good."""
-    places, key = controllers
+    places, key, said = controllers
     if not others_are_gone:
         fail("if any other still runs, two may be in charge at once: end them, then say --others-are-gone")
-    said = asyncio.run(_ask_all({name: places[name] for name in names if name in places}, key, "fleet"))
-    up = [name for name, told in said.items() if "members" in told]
+    up = [name for name, told in said.items() if name in names and "members" in told]
     if not up:
         fail("none of them could be reached", UNREACHED)
     asked = max(up, key=lambda name: said[name]["number"])
@@ -328,7 +325,7 @@
 @click.option("--ward", default="fleet", show_default=True)
 def handover(path, ward):
     """Have whoever is in charge of a ward give it up to another controller."""
-    places, key = _controllers(path)
+    places, key, _ = _controllers(path)
     said = asyncio.run(_ask_all(places, key, "hand over", ward=ward))
     giver = [name for name, told in said.items() if told.get("handed_over")]
     click.echo(f"{giver[0]} handed over {ward}" if giver else f"nobody that could be reached is in charge of {ward}")
--- a/indigodeck/standins/audit.py
+++ b/indigodeck/standins/audit.py
@@ -42,18 +42,12 @@
                                               bool(entry.flags & codec.QUIESCED)) for entry in entries])
 
 
-class Count:
+class Count(Ear):
     """Whether a SASP message names anybody: who is refused is answered, too, but told nothing."""
 
     def __init__(self):
         self.entries = 0
 
-    def answered(self, number, kind, code):
-        pass
-
-    def weights(self, number, code, interval, groups):
-        self.sent_weights(number, groups)
-
     def sent_weights(self, number, groups):
         self.entries += sum(len(entries) for _, entries in groups)
 
--- a/indigodeck/standins/controllers.py
+++ b/indigodeck/standins/controllers.py
@@ -10,10 +10,23 @@
 from ..client import Tables
 from ..client.sasp import SaspClient
 from ..client.xds import XdsClient
+from .keeper import ListFile
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
 
 
+def section(me, members, lease, **more):
+    """A charter's section `takeover`, for controllers at these ports that share a folder with the file `key`."""
+    return {"me": me, "members": {name: f"127.0.0.1:{port}" for name, port in members.items()}, "key_file": "key",
+            "record": f"{me}.record", "lease_ms": lease, "drift": 0.02, **more}
+
+
+def charges_in(path):
+    """What a controller logged of its charge: [(in or out, epoch, wall clock as written)]"""
+    lines = [json.loads(line) for line in path.read_text().splitlines() if line.startswith("{")]
+    return [(line["event"], line["epoch"], line["timestamp"]) for line in lines if line["event"] in ("in charge", "out of charge")]
+
+
 def free_ports(many):
     """(ports from the kernel, sockets that hold them until closed). Bound and not listening, they let a controller take its
     port and nobody else: a port that was merely free a moment ago was taken by some connection now and then."""
@@ -78,16 +91,15 @@
                       for nth in range(all_of_them)}
         self.first = [f"c{nth}" for nth in range(members)]
         (self.folder / "key").write_text("a key for tests, shared by all of them")
-        self.version, self.states = 0, {nth: "ready" for nth in range(8)}
+        self.listed, self.states = ListFile(folder), {nth: "ready" for nth in range(8)}
         self.keep()
         for name in self.members:
             charter = json.loads(json.dumps(charter))
             charter.update(name=name, roster={"file": "roster.json", "look_every_ms": 50},
                            fronts={wire: {"address": "127.0.0.1", "port": port} for wire, port in self.wires[name].items()},
-                           takeover={"me": name, "members": {other: f"127.0.0.1:{port}" for other, port in self.members.items()
-                                                             if other in self.first or other == name},
-                                     "key_file": "key", "record": f"{name}.record", "lease_ms": lease, "drift": 0.02,
-                                     **({} if name in self.first else {"joins": True}), **(stated or {})})
+                           takeover=section(name, {other: port for other, port in self.members.items()
+                                                   if other in self.first or other == name}, lease,
+                                            **({} if name in self.first else {"joins": True}), **(stated or {})))
             charter["fronts"]["sasp"]["interval_s"] = 1
             charter["reports"] = {"period_ms": 1000, "probes_per_s": 0}
             charter["rules"]["gone_binds"] = True
@@ -117,12 +129,9 @@
 
     def keep(self, **states):
         self.states.update({int(name[1:]): state for name, state in states.items()})
-        self.version += 1
-        path = self.folder / "roster.json"
-        path.with_suffix(".new").write_text(json.dumps({"version": self.version, "hosts": [
+        self.listed.keep([
             {"id": f"host-{nth}", "address": "127.0.0.1", "port": self.place(nth), "state": state, "weight": 4, "hall": "hall-a"}
-            for nth, state in self.states.items()]}))
-        path.with_suffix(".new").replace(path)
+            for nth, state in self.states.items()])
 
     async def start(self, name, program=ROOT):
         """`program`: the folder of another version of it."""
@@ -133,8 +142,7 @@
 
     def told(self, name):
         """What a controller logged of its charge: [(in or out, epoch)]"""
-        lines = [json.loads(line) for line in (self.folder / f"{name}.log").read_text().splitlines() if line.startswith("{")]
-        return [(line["event"], line["epoch"]) for line in lines if line["event"] in ("in charge", "out of charge")]
+        return [(what, epoch) for what, epoch, _ in charges_in(self.folder / f"{name}.log")]
 
     def holder(self):
         """Who says last, under the highest epoch, that it is in charge."""
--- a/indigodeck/standins/conversation.py
+++ b/indigodeck/standins/conversation.py
@@ -6,7 +6,6 @@
 the tables that `until` states by hosts, or met the error that it names; then a line is printed for each.
 """
 import asyncio
-import json
 import pathlib
 import time
 
@@ -18,6 +17,7 @@
 from ..client.xds import XdsClient
 from ..planner.charter import Charter
 from ..serve import assemble
+from .keeper import ListFile
 from .tap import Tap
 
 CLIENTS = {"sasp": SaspClient, "xds": XdsClient}
@@ -43,18 +43,15 @@
 class Talkers:
     def __init__(self, script, folder):
         self.script, self.folder, self.service = script, pathlib.Path(folder), None
-        self.hosts, self.version, self.printed = dict(script["hosts"]), 0, {}
+        self.hosts, self.listed, self.printed = dict(script["hosts"]), ListFile(folder), {}
         self.ports = {9000 + nth: name for nth, name in enumerate(script["hosts"])}
         self.places = {name: port for port, name in self.ports.items()}
         self.classes = script["charter"]["classes"]
 
     def keep(self):
-        self.version += 1
-        path = self.folder / "roster.json"
-        path.with_suffix(".new").write_text(json.dumps({"version": self.version, "hosts": [
+        self.listed.keep([
             {"id": name, "address": "127.0.0.1", "port": self.places[name], "state": state, "weight": 4,
-             "hall": self.script["charter"]["halls"][0]} for name, state in self.hosts.items() if state != "gone"]}))
-        path.with_suffix(".new").replace(path)
+             "hall": self.script["charter"]["halls"][0]} for name, state in self.hosts.items() if state != "gone"])
 
     def start(self):
         document = dict(self.script["charter"], classes=self.classes, roster={"file": "roster.json", "look_every_ms": 20},
--- a/indigodeck/standins/fleet_day.py
+++ b/indigodeck/standins/fleet_day.py
@@ -9,7 +9,7 @@
 
 from . import audit
 from ..clock import now
-from .controllers import free_ports
+from .controllers import charges_in, free_ports, section
 from .day import Play, SECOND
 from .tap import Tap
 
@@ -28,8 +28,7 @@
             document = json.loads(json.dumps(self.charter.document))
             document["name"] = name
             document["fronts"][wire]["port"] = ports[many + nth]
-            document["takeover"] = {"me": name, "members": {other: f"127.0.0.1:{port}" for other, port in self.ports.items()},
-                                    "key_file": "key", "record": f"{name}.record", "lease_ms": lease_ms, "drift": 0.02}
+            document["takeover"] = section(name, self.ports, lease_ms)
             (self.folder / f"{name}.json").write_text(json.dumps(document))
         self.all_taps = [Tap(now, lambda port=ports[many + nth]: ("127.0.0.1", port), wire == "sasp", name)
                          for nth, name in enumerate(self.names)]
@@ -47,9 +46,10 @@
     async def start_planner(self):
         self.starts.append(now())
         for name in self.names:
-            self.processes[name] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "indigodeck", "serve", "--charter", str(self.folder / f"{name}.json"),
-                stdout=open(self.folder / f"{name}.log", "wb"), stderr=self.log)
+            with open(self.folder / f"{name}.log", "wb") as log:
+                self.processes[name] = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "indigodeck", "serve", "--charter", str(self.folder / f"{name}.json"),
+                    stdout=log, stderr=self.log)
         for _ in range(400):
             await sleep(0.05)
             if self.charges():
@@ -67,11 +67,10 @@
         """[(moment, epoch, controller)] as their own logs say."""
         gap, found = datetime.datetime.now().timestamp() * SECOND - now(), []
         for name in self.names:
-            for line in (self.folder / f"{name}.log").read_text().splitlines():
-                if '"in charge"' in line:
-                    told = json.loads(line)
-                    at = datetime.datetime.fromisoformat(told["timestamp"].replace("Z", "+00:00")).timestamp()
-                    found.append((round(at * SECOND - gap), told["epoch"], name))
+            for what, epoch, written in charges_in(self.folder / f"{name}.log"):
+                if what == "in charge":
+                    at = datetime.datetime.fromisoformat(written.replace("Z", "+00:00")).timestamp()
+                    found.append((round(at * SECOND - gap), epoch, name))
         return sorted(found)
 
     async def trouble(self, stated):
--- a/indigodeck/standins/keeper.py
+++ b/indigodeck/standins/keeper.py
@@ -3,6 +3,7 @@
 `GET /roster` gives the whole list, `GET /watch` the whole one and then each change as a JSON line.
 """
 import json
+import pathlib
 
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
@@ -14,6 +15,19 @@
 SECOND = 1_000_000
 
 
+class ListFile:
+    """The list as a file, put in place whole: each time under the next version."""
+
+    def __init__(self, folder):
+        self.path, self.version = pathlib.Path(folder) / "roster.json", 0
+
+    def keep(self, hosts):
+        self.version += 1
+        fresh = self.path.with_suffix(".new")
+        fresh.write_text(json.dumps({"version": self.version, "hosts": hosts}))
+        fresh.replace(self.path)
+
+
 class Keeper:
     """`late`: microseconds from a change to its telling. `told(host, state)` hears what is told, as it is."""
 
