--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -504,7 +504,9 @@
         weight = sum(server.weight * self._ramp(server) for server in ready.values())
         took = [sample[1:] for sample in everything if sample[0] in ready]
         failing = [part for index, part in fails.items() if index in ready]
-        if not (weight and tried and failing):
+        # Who has no proxies, or none any more, lets nobody in: levels wound down by what others bring to the
+        # servers would refuse at once those that join later.
+        if not (weight and tried and failing and self.proxies.joined()):
             return
         # Two of five slow answers tell a flood from a few bad servers. No answer at all is the deepest jam.
         busy = quantile(0.6, took) / agreed if took else 2.0
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -209,6 +209,18 @@
         rig.run(20, lambda rig: rig.report(tries=14))
         self.compare("flood", rig)
 
+    def test_a_flood_that_others_bring_turns_no_level_of_who_has_no_proxies(self):
+        rig = Rig()
+        rig.start(fleet())
+        for proxy in range(2):
+            rig.assigner.proxy_left(proxy)
+        rig.run(12, lambda rig: rig.report(lambda index: 900_000, lambda index: 6, 30))
+        self.assertEqual(rig.assigner.valves[None].open, 1.0)
+        for proxy in range(2):
+            rig.assigner.proxy_joined(proxy, 0, 50.0, False)
+        rig.run(6, lambda rig: rig.report(lambda index: 900_000, lambda index: 6, 30, (80, 40)))
+        self.assertLess(rig.assigner.valves[None].open, 1.0)
+
     def test_total_jam_closes_the_valve_though_nothing_is_answered(self):
         rig = Rig()
         rig.start(fleet())
