A member of a fleet runs on a thread of its own; list changes of one turn are one

- takeover/apart.py: leases, grants and the record's fsync have a loop of their own; a planner whose own loop is silent for a lease is not renewed (Charge, model with hangs, test).
- Changes of one turn of the loop reach the assigner as one call, in order.
- planner/arrivals.py: relays that arrive all at once are let in as the channel takes what they must be told.
- Probes that were under way while the planner stood still say nothing of hosts: one stopped for 3 s had read 3 s into every answer.

--- a/indigodeck/fronts/sasp/codec.py
+++ b/indigodeck/fronts/sasp/codec.py
@@ -239,6 +239,11 @@
     method(number, *fields)
 
 
+def introduces(data):
+    """Whether this message, whole or not, is one in which a load balancer says who it is."""
+    return data[HEADER.size:HEADER.size + 2] == struct.pack("!H", SET_BALANCER)
+
+
 # Writing.
 
 def component(kind, *parts):
--- a/indigodeck/fronts/sasp/server.py
+++ b/indigodeck/fronts/sasp/server.py
@@ -53,6 +53,8 @@
             while self.closing is None:
                 message = await self._message()
                 await self._allowed()
+                if codec.introduces(message) and self.conversation.proxy is None:
+                    await self._admitted()
                 self.conversation.read(message)
                 await self._answer()
         except StreamClosedError:
@@ -81,6 +83,12 @@
         while wait := self._allowance().answer_in(self.front.now()):
             await sleep(wait / SECOND)
 
+    async def _admitted(self):
+        if not await self.front.service.admitted():
+            self.close("too many relays wait to join")
+        if self.stream.closed() or self.closing is not None:
+            raise StreamClosedError         # it did not wait for its turn, and would be told all for nothing
+
     def _allowance(self):
         return self.front.allowance(self.conversation.uid or self.address)
 
--- a/indigodeck/fronts/xds/server.py
+++ b/indigodeck/fronts/xds/server.py
@@ -57,6 +57,8 @@
     async def _read(self):
         while (request := await self.context.read()) is not grpc.aio.EOF:
             if self.stream is None:
+                if not self.front.joined(request.node) and not await self.front.service.admitted():
+                    raise streams.TooMuch("too many relays wait to join")
                 self.relay = self.front.introduced(request.node)
                 self.stream = self.relay.opened(self, self.delta)
                 self.writer = asyncio.get_running_loop().create_task(self._write())
@@ -167,6 +169,10 @@
     async def DeltaAggregatedResources(self, requests, context):
         await Line(self, context, True).run()
 
+    def joined(self, node):
+        """Whether this relay has other streams here already."""
+        return codec.place_of(node, self.charter.halls)[0] in self.known
+
     def introduced(self, node):
         uid, hall = codec.place_of(node, self.charter.halls)
         relay = self.known.get(uid)
--- a/indigodeck/planner/desk.py
+++ b/indigodeck/planner/desk.py
@@ -146,6 +146,11 @@
         head = self.stated["head_lines"]
         return sum(holding.lines() + head for holding in self.holdings.values() if holding.waiting)
 
+    def arrival(self):
+        """Lines that one more proxy may have waiting at once: tables, and what is withdrawn, for each class."""
+        longest = max(map(len, self.tables.values()), default=0)
+        return self.stated["head_lines"] + len(self.places) * max(1, longest + len(self.withdrawn))
+
     def waits(self, proxy):
         return proxy in self.holdings and bool(self.holdings[proxy].waiting)
 
--- a/indigodeck/planner/evidence.py
+++ b/indigodeck/planner/evidence.py
@@ -26,6 +26,9 @@
 # It judges by the median of servers heard of so often, too: in an idle fleet a suspect alone would be its own median, so
 # some that answer are tried as closely.
 WITNESSES = 2
+# `due` is asked far more often than this while the planner runs. Whatever was under way when it was not, has waited for the
+# planner: one that had been stopped for 3 s read 3 s into every answer, and closed its levels to a third.
+STOOD = 250_000
 
 
 class Report(NamedTuple):
@@ -67,6 +70,7 @@
         self.rate, self.at_once = probes_per_s, probes_at_once
         self.cases, self.proxies, self.turned_at, self.spent = {}, [], desk.now(), 0.0
         self.budget_at = desk.now()
+        self.woke_at = -(1 << 60)       # when the planner last went on after it had stood still
 
     # The fleet and the relays, as they come and go.
 
@@ -104,6 +108,8 @@
         case = self.cases.get(server)
         if case is not None:
             case.out = max(0, case.out - 1)
+            if at - took < self.woke_at or at - self.budget_at > STOOD:
+                return
             case.probes.append((at, outcome == "ok", took))
             self._sign(server, outcome == "ok")
 
@@ -119,6 +125,7 @@
     def due(self, now):
         """The hosts to try now, suspects and others by turns, who was tried longest ago first; within the budget."""
         self.spent = max(0.0, self.spent - (now - self.budget_at) * self.rate / SECOND)
+        self.woke_at = now if now - self.budget_at > STOOD else self.woke_at
         self.budget_at = now
         out = sum(case.out for case in self.cases.values())
         period, suspects, others = self.stated["report_period"], [], []
--- a/indigodeck/planner/service.py
+++ b/indigodeck/planner/service.py
@@ -4,6 +4,7 @@
 choice.py; what waits for whom is in desk.py; which list counts is in roster.py; what hosts' reports mean is in
 evidence.py.
 """
+import asyncio
 import logging
 import time
 
@@ -18,6 +19,7 @@
 from ..clock import now
 from ..schema import BadDocument
 from .allowance import Allowance
+from .arrivals import Arrivals
 from .desk import Desk, Door
 from .evidence import Evidence
 from .reach import HttpReach
@@ -41,10 +43,11 @@
         self.desk, self.asking, self.ending = None, False, False
         self.desk = Desk(self, charter.stated, charter.seed, make)
         reports = charter.reports
+        self.changes = []       # servers that the desk has not been told of yet, in the order they came
         self.evidence = Evidence(self.desk, charter.stated, reports.get("probes_per_s", 20),
                                  reports.get("probes_at_once", 16))
         self.sums = Sums(self.desk, reports.get("lines_per_s", 500), charter.stated["report_period"])
-        self.allowances = {}
+        self.allowances, self.arrivals = {}, Arrivals(self, charter.stated["waiting_most"])
         # A probe is a real exchange, so one that may be done twice.
         safe = [kind["name"] for kind in charter.stated["classes"] if kind["repeats"] == "safe"]
         self.reach = reach or HttpReach(reports, (safe or charter.classes)[0])
@@ -104,11 +107,11 @@
 
     def refusals(self, uid):
         """{class: content} that a relay is known to have refused, here or with another controller."""
-        return {} if self.peers is None else self.peers.refusals.of(uid)
+        return {} if self.peers is None else self.peers.refusals_of(uid)
 
     def refused(self, uid, name, content):
         if self.peers is not None:
-            self.peers.refusals.refused(uid, name, content)
+            self.peers.refused(uid, name, content)
 
     def in_charge(self, ward, epoch):
         self.note("in charge", ward=ward, epoch=epoch)
@@ -129,6 +132,30 @@
     def holds_any(self):
         return self.peers is None or any(self.peers.charge.holds(ward) is not None for ward in self.peers.charge.wards)
 
+    # What arrivals may ask of the program.
+
+    def queue(self):
+        return self.desk.queue()
+
+    def arrival(self):
+        return self.desk.arrival()
+
+    def let_in(self, relay):
+        if not relay.done():
+            relay.set_result(True)
+
+    def turned_away(self, relay):
+        relay.set_result(False)
+
+    async def admitted(self):
+        """Until one more relay may join; False if too many wait for that."""
+        relay = asyncio.get_running_loop().create_future()
+        try:
+            self.arrivals.came(relay)
+            return await relay
+        finally:
+            self.arrivals.left(relay)
+
     # What fronts tell.
 
     def proxy_number(self, uid):
@@ -214,6 +241,23 @@
         states = [server.state for server in servers]
         self.note("listed", kind=kind, version=self.roster.version,
                   **{state: states.count(state) for state in sorted(set(states))})
+        if kind != lists.CHANGES:
+            # It stands for all that was about to be told.
+            self.changes.clear()
+            return self._told_of(kind, servers)
+        if not self.changes:
+            IOLoop.current().add_callback(self._changed)
+        # None is left out for a newer one: that it drains must be heard, though it is gone by now.
+        self.changes += servers
+
+    def _changed(self):
+        """Changes that came in one turn of the loop are one to the assigner: a release at full size brings twenty at a
+        time, and each of them alone kept the loop for a quarter of a second before any front could write."""
+        servers, self.changes = self.changes, []
+        if servers:
+            self._told_of(lists.CHANGES, servers)
+
+    def _told_of(self, kind, servers):
         self.desk.listed(kind, servers)
         changed = [self.places[server.index] for server in servers if server.index in self.places]
         for front in self.fronts:
--- a/indigodeck/serve.py
+++ b/indigodeck/serve.py
@@ -47,16 +47,17 @@
 
 
 def peers(service, charter):
+    from .takeover.apart import Apart
     from .takeover.peers import Peers
     from .takeover.record import RecordFile, pack_entries, unpack_entries
     stated = charter.takeover
     wards = charter.halls if stated.get("wards") == "halls" else ["fleet"]
-    record = charter.folder / stated["record"]
-    return Peers(service, stated["me"], stated["members"], wards, round(stated.get("lease_ms", 3000) * 1000),
-                 stated.get("drift", 0.01), key_of(charter), RecordFile(record),
-                 RecordFile(record.with_name(record.name + ".refused"), pack_entries, unpack_entries),
-                 Chance(seed_from(stated["me"], [str(charter.seed).encode()])), int(time.time() * 10),
-                 stated.get("speaks", 2), stated.get("joins", False))
+    record, lease = charter.folder / stated["record"], round(stated.get("lease_ms", 3000) * 1000)
+    return Apart(service, lambda surroundings: Peers(
+        surroundings, stated["me"], stated["members"], wards, lease, stated.get("drift", 0.01), key_of(charter),
+        RecordFile(record), RecordFile(record.with_name(record.name + ".refused"), pack_entries, unpack_entries),
+        Chance(seed_from(stated["me"], [str(charter.seed).encode()])), int(time.time() * 10),
+        stated.get("speaks", 2), stated.get("joins", False)), lease)
 
 
 async def serve(charter, make=Assigner):
--- a/indigodeck/takeover/charge.py
+++ b/indigodeck/takeover/charge.py
@@ -37,6 +37,9 @@
 
     def now(self) -> int: ...
 
+    def silent(self) -> int:
+        """For how long the planner beside this member has not been seen at work."""
+
     def later(self, after: int) -> None:
         """Call `woken` after this time."""
 
@@ -264,8 +267,9 @@
 
     def woken(self):
         self.host.later(self._tick())
-        now = self.host.now()
-        if self.me in self.members and now - self.here_at >= self.lease // 2:
+        # Who would be in charge of relays and write them nothing must not keep others from it.
+        now, works = self.host.now(), self.host.silent() < self.lease
+        if works and self.me in self.members and now - self.here_at >= self.lease // 2:
             # Members that hold nothing would else never hear of each other, and all try at once when the holder stops.
             self.here_at = now
             for member in self._others():
@@ -276,9 +280,9 @@
             bid = self.bids[ward]
             if bid.held and now >= bid.until:
                 self._lose(ward, "its lease has ended")
-            if bid.held and now - bid.asked_at >= self.lease // 4:
+            if bid.held and works and now - bid.asked_at >= self.lease // 4:
                 self._ask(ward, bid.epoch)
-            elif not bid.held and now >= bid.retry_at and self._may_grant() and self.wanted(ward):
+            elif not bid.held and works and now >= bid.retry_at and self._may_grant() and self.wanted(ward):
                 turn = max(self.known.get(ward, (0, None))[0], bid.epoch) // STRIDE + 1
                 # No two members ever ask under one epoch: each has numbers of its own, and uses each once.
                 self._ask(ward, turn * STRIDE + sorted(self.members).index(self.me))
--- a/indigodeck/takeover/model.py
+++ b/indigodeck/takeover/model.py
@@ -26,6 +26,7 @@
         self.world, self.name, self.rate, self.offset = world, name, rate, offset
         self.charge, self.disk, self.lives = None, None, 0
         self.paused, self.waiting, self.copies = False, [], []
+        self.hung_at = None     # since when its planner hangs, while the member itself runs
 
     def start(self, record):
         self.lives += 1
@@ -38,6 +39,9 @@
     def now(self):
         return self.offset + round(self.world.clock * self.rate)
 
+    def silent(self):
+        return 0 if self.hung_at is None else round((self.world.clock - self.hung_at) * self.rate)
+
     def later(self, after):
         life = self.lives
         self.world.at(self.world.clock + round(after / self.rate), lambda: self.run(life, lambda: self.charge.woken()))
@@ -79,6 +83,7 @@
 
     def __init__(self, seed, members=3, seconds=120, make=Charge):
         self.seed, self.make, self.chance = seed, make, Chance(seed * 2654435761 + 1)
+        self.hangs = Chance(seed * 2654435761 + 2)
         self.clock, self.queue, self.nth, self.end = 0, [], 0, seconds * SECOND
         self.names = [f"c{nth}" for nth in range(members)] + ["s0", "s1"]
         self.fleets = {0: {name: "" for name in self.names[:members]}}      # by number, as they were decided
@@ -126,10 +131,15 @@
             self.cut, self.loss = set(), 0
             for seat in self.seats.values():
                 self.resume(seat)
+                seat.hung_at = None
                 if seat.charge is None:
                     seat.start(seat.disk)
             return
         seat = self.seats[self.names[self.chance.below(len(self.names))]]
+        if self.hangs.below(16) == 0:
+            hung = self.seats[self.names[self.hangs.below(len(self.names))]]
+            hung.hung_at = self.clock
+            self.at(self.clock + self.hangs.below(6 * LEASE), lambda: setattr(hung, "hung_at", None))
         kind = self.chance.below(12)
         if kind == 0:
             seat.paused = seat.charge is not None
--- a/indigodeck/takeover/peers.py
+++ b/indigodeck/takeover/peers.py
@@ -29,8 +29,8 @@
 
 
 class Peers(TCPServer):
-    """A member's surroundings on sockets. `service`: `now()`, `note(event, ..)`, `in_charge(ward, epoch)`,
-    `out_of_charge(ward, epoch, why)`, `followers()`: [(relay, front, ward)]; `places`: {member: "ADDRESS:PORT"} as the
+    """A member's surroundings on sockets. `service`: `now()`, `silent()`, `note(event, ..)`, `in_charge(ward, epoch)`,
+    `out_of_charge(ward, epoch, why)`, `await followers()`: [(relay, front, ward)] (apart.py); `places`: {member: "ADDRESS:PORT"} as the
     charter says; `newest`: the version of messages not to go beyond."""
 
     def __init__(self, service, me, places, wards, lease, drift, key, file, refused, chance, life, newest, joins):
@@ -60,6 +60,9 @@
     def now(self):
         return self.service.now()
 
+    def silent(self):
+        return self.service.silent()
+
     def later(self, after, call=None):
         IOLoop.current().call_later(after / SECOND, call or self._wake)
 
@@ -133,7 +136,7 @@
                 if version > self.newest:
                     raise messages.Refused(f"version {version}, {self.newest} is the newest spoken here")
                 if source == OPERATOR:
-                    said = self._asked(kind, fields)
+                    said = await self._asked(kind, fields)
                     await stream.write(messages.pack(self.key, self.me, "answer", version, said=said))
                     continue
                 self.peers[source].speech.heard(connection, version)
@@ -149,9 +152,9 @@
         finally:
             stream.close()
 
-    def _asked(self, kind, fields):
+    async def _asked(self, kind, fields):
         if kind == "fleet":
-            held = self.service.followers()
+            held = await self.service.followers()
             told = self.charge.fleet()
             for ward, state in told["wards"].items():
                 state["followers"] = sum(1 for _, _, follows in held if follows == ward)
@@ -159,7 +162,7 @@
                 member["speaks"] = self.newest if name == self.me else self.peers[name].speech.version
             return told
         if kind == "followers":
-            names = sorted(relay for relay in self.service.followers() if relay[0] > fields["after"])
+            names = sorted(relay for relay in await self.service.followers() if relay[0] > fields["after"])
             return {"relays": names[:NAMES_MOST], "more": len(names) > NAMES_MOST}
         if kind == "change":
             if any(peer.speech.version < 2 for name, peer in self.peers.items() if name in self.charge.members):
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -14,6 +14,8 @@
 from indigodeck.planner.allowance import Allowance
 from indigodeck.planner.charter import Charter
 from indigodeck.planner.desk import Desk, Door
+from indigodeck.planner import arrivals
+from indigodeck.planner.arrivals import Arrivals
 from indigodeck.planner.evidence import Evidence, Report
 from indigodeck.planner.weights import scaled
 from indigodeck.planner.roster import Roster, read
@@ -431,6 +433,21 @@
         self.assertGreaterEqual(sent.count(3), 4)
         self.assertEqual(set(sent), set(range(6)))
 
+    def test_answers_that_waited_for_a_planner_that_stood_still_say_nothing_of_hosts(self):
+        self.second()
+        asked = self.evidence.due(self.clock + SECOND // 10)
+        self.clock += 3 * SECOND        # stopped, with probes under way
+        for index in asked:
+            self.evidence.tried(index, "ok", 3 * SECOND, self.clock)
+        self.evidence.due(self.clock)
+        for index in range(6):
+            self.evidence.tried(index, "silent", 2 * SECOND, self.clock + 1000)
+        self.met.clear()
+        self.evidence.turn()
+        self.assertEqual(self.met, {})
+        self.second()
+        self.assertLess(self.met[0][2], SECOND // 2)
+
     def test_late_reports_and_old_ones_say_nothing(self):
         self.evidence.reported(0, Report(0, 1, 1, 5.0), 10 * SECOND)
         self.evidence.reported(0, Report(0, 1, 1, 99.0), 9 * SECOND)
@@ -439,6 +456,51 @@
         self.assertEqual(self.met, {})
 
 
+class ArrivalsOf(unittest.TestCase):
+    def setUp(self):
+        self.loop, self.waiting, self.inside, self.away = Loop(), 0, [], []
+        self.now, self.later = self.loop.now, self.loop.later
+        self.arrivals = Arrivals(self, 1000)
+
+    def queue(self):
+        return self.waiting
+
+    def arrival(self):
+        return 50
+
+    def let_in(self, relay):
+        self.inside.append(relay)
+        self.waiting += 50
+
+    def turned_away(self, relay):
+        self.away.append(relay)
+
+    def test_all_that_come_at_once_are_let_in_as_the_channel_empties_first_come_first(self):
+        for relay in range(100):
+            self.arrivals.came(relay)
+        self.arrivals.left(5)
+        self.arrivals.left(90)
+        most = self.waiting
+        while len(self.inside) < 98 and self.loop.clock < 110 * SECOND:
+            self.loop.run(0.02)
+            most, self.waiting = max(most, self.waiting), max(0, self.waiting - 100)
+        self.assertEqual(self.inside, [relay for relay in range(100) if relay not in (5, 90)])
+        self.assertLessEqual(most, 400)
+
+    def test_a_queue_that_never_empties_lets_one_in_now_and_then_and_is_never_overfilled(self):
+        self.waiting = 700          # of relays that read nothing
+        for relay in range(20):
+            self.arrivals.came(relay)
+        self.loop.run(10)
+        self.assertEqual((self.inside, self.waiting), (list(range(6)), 1000))
+
+    def test_no_more_wait_than_there_is_room_for(self):
+        self.waiting = 1000
+        for relay in range(arrivals.WAITING_MOST + 2):
+            self.arrivals.came(relay)
+        self.assertEqual(len(self.away), 2)
+
+
 class Allowances(unittest.TestCase):
     @settings(max_examples=200, deadline=None)
     @given(some.lists(some.tuples(some.integers(0, 3000), some.booleans()), max_size=80))
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -111,9 +111,12 @@
 
     def __init__(self, record=None, life=2):
         super().__init__()
-        self.sent, self.kept, self.broken_disk = [], [], False
+        self.sent, self.kept, self.broken_disk, self.hung_since = [], [], False, None
         self.charge = Charge(self, "a", PLACES, ["fleet"], 2 * SECOND, 0.05, Chance(1), life, record)
 
+    def silent(self):
+        return 0 if self.hung_since is None else self.clock - self.hung_since
+
     def later(self, after):
         super().later(after, self.charge_woken)
 
@@ -270,6 +273,23 @@
         alone.granted("c")
         self.assertFalse(alone.charge.may_write("fleet", epoch))
 
+    def test_a_member_whose_planner_hangs_renews_nothing_and_one_that_is_busy_does(self):
+        alone = self.led()
+        for hung, kept in ((1, True), (20, False)):
+            alone.hung_since = alone.clock
+            for _ in range(hung):
+                alone.run(0.25)
+                if alone.charge.holds("fleet") is not None:
+                    alone.granted("b")
+            self.assertEqual(alone.charge.holds("fleet") is not None, kept)
+        asked = len([kind for _, kind, _ in alone.sent if kind == "ask"])
+        alone.run(10)
+        self.assertEqual(len([kind for _, kind, _ in alone.sent if kind == "ask"]), asked)
+        alone.hung_since = None
+        alone.run(2)
+        alone.granted("c")
+        self.assertIsNotNone(alone.charge.holds("fleet"))
+
     def test_a_relay_tries_all_controllers_before_it_waits_longer(self):
         redial = Redial(Chance(3))
         waits = [redial.failed(3) for _ in range(15)]
