A member beside a busy planner and beside one that hangs, on real loops

The thread of a member is tested as it runs: the planner's loop is kept busy for half a lease again and again and the lease stays; it hangs for three and the lease is given up, and taken anew under a higher epoch when it goes on.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import tempfile
+import time
 import unittest
 import unittest.mock
 
@@ -23,7 +24,8 @@
 from indigodeck.takeover.charge import Charge, Record         # noqa: E402
 from indigodeck.takeover.record import RecordFile, pack, pack_entries, unpack, unpack_entries      # noqa: E402
 from indigodeck.takeover.refusals import Refusals             # noqa: E402
-from indigodeck.takeover.peers import ask                     # noqa: E402
+from indigodeck.takeover.apart import Apart                   # noqa: E402
+from indigodeck.takeover.peers import Peers, ask              # noqa: E402
 from indigodeck.clock import now                              # noqa: E402
 from indigodeck.standins.controllers import Fleet, Gate       # noqa: E402
 from indigodeck.standins.fleet_day import FleetPlay           # noqa: E402
@@ -394,6 +396,49 @@
                 messages.unpack(self.KEY, damaged, {"c1"}.__contains__)
 
 
+class BesideABusyPlanner(unittest.IsolatedAsyncioTestCase):
+    """A member alone on its thread; the test's loop is the planner's."""
+
+    def now(self):
+        return now()
+
+    def note(self, event, **facts):
+        pass
+
+    def in_charge(self, ward, epoch):
+        self.charges.append(("in", epoch))
+
+    def out_of_charge(self, ward, epoch, why):
+        self.charges.append(("out", epoch))
+
+    def followers(self):
+        return [("r1", "sasp", "fleet")]
+
+    async def test_a_planner_that_is_busy_keeps_its_lease_and_one_that_hangs_does_not(self):
+        self.charges, folder = [], tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        record, lease, key = pathlib.Path(folder.name) / "r", 2 * SECOND, b"a key of sixteen bytes"
+
+        def made(surroundings):
+            return Peers(surroundings, "a", {"a": "127.0.0.1:0"}, ["fleet"], lease, 0.01, key, RecordFile(record),
+                         RecordFile(record.with_name("f"), pack_entries, unpack_entries), Chance(1), 1, 2, False)
+
+        apart = Apart(self, made, lease)
+        self.addCleanup(apart.cease)
+        await until(lambda: self.charges, 20)
+        first = self.charges[0]
+        for _ in range(3):
+            time.sleep(1)           # the loop does nothing else meanwhile
+            await asyncio.sleep(0.3)
+        self.assertEqual(self.charges, [first])
+        self.assertEqual(apart.charge.holds("fleet"), first[1])
+        time.sleep(7)
+        self.assertIsNone(apart.charge.holds("fleet"))
+        await until(lambda: len(self.charges) == 3, 20)
+        self.assertEqual([what for what, _ in self.charges], ["in", "out", "in"])
+        self.assertGreater(self.charges[2][1], first[1])
+
+
 class Processes(unittest.IsolatedAsyncioTestCase):
     async def set_up(self, gated=False, known=None, **given):
         folder = tempfile.TemporaryDirectory()
