--- a/indigodeck/takeover/messages.py
+++ b/indigodeck/takeover/messages.py
@@ -94,7 +94,7 @@
     except (ValueError, KeyError, AttributeError, TypeError) as error:
         raise Refused(f"no message: {error}") from error
     if isinstance(version, bool) or version not in VERSIONS:
-        raise Refused(f"version {version}, {' and '.join(map(str, VERSIONS))} are spoken here")
+        raise Refused(f"version {version}; spoken here are {', '.join(map(str, VERSIONS))}")
     if not isinstance(source, str) or not known(source):
         raise Refused(f"{source!r} is none of this fleet")
     if not isinstance(kind, str) or kind not in KINDS[version] or given.keys() != KINDS[version][kind]:
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -350,7 +350,15 @@
         self.assertEqual(said(messages.pack(self.KEY, "c1", "release", ward="fleet", epoch=-1)), "epoch is -1")
         self.assertEqual(said(messages.pack(self.KEY, "c1", "tell", hello=1, epochs={"fleet": "x"}, serial=0, number=0, members=None, plan=None)), "epochs are not numbers by ward")
         self.assertEqual(said(messages.pack(self.KEY, "c1", "members", number=1, members={"c1": 5}, epochs={})), "members are not places by id")
-        self.assertEqual(said(messages.pack(self.KEY, "c1", "release", 3, ward="fleet", epoch=3)), "version 3, 1 and 2 are spoken here")
+        self.assertEqual(said(messages.pack(self.KEY, "c1", "release", 3, ward="fleet", epoch=3).replace(b'"version": 3', b'"version": 4')), "not sealed with the key of this fleet")
+        with unittest.mock.patch.dict(messages.KINDS, {4: messages.KINDS[3]}):
+            newer = messages.pack(self.KEY, "c1", "release", 4, ward="fleet", epoch=3)
+        self.assertEqual(said(newer), "version 4; spoken here are 1, 2, 3")
+        self.assertEqual(said(messages.pack(self.KEY, "c1", "noted", serial=[3])), "'noted': serial is of no known shape")
+        self.assertEqual(said(messages.pack(self.KEY, "c1", "wishes", wishes={"serial": [1, 1], "pins": [], "holds": {"read": 7}})),
+                         "'wishes': wishes is of no known shape")
+        self.assertEqual(said(messages.pack(self.KEY, "c1", "sheets", number=[1, 1], part=0, of=1, parent=None, about=[1, "", "", ""],
+                                            sheets={"0": {"class": "read", "lines": {"h": -1}, "level": [1, 1]}})), "'sheets': sheets is of no known shape")
         with self.assertRaises(messages.Refused):
             messages.length((1 << 30).to_bytes(4, "big"))
 
