--- a/indigodeck/planner/desk.py
+++ b/indigodeck/planner/desk.py
@@ -270,7 +270,10 @@
         if holding is None:
             return
         for place in classes or self.places:
-            holding.bound[place], self.place_of[table] = table, place
+            if table not in self.place_of:
+                # It is published from now on, though no line of it changes.
+                self.place_of[table], self.changed = place, True
+            holding.bound[place] = table
             holding.touch(self.outside.now(), place, self._lines(table))
         self.reached.add(proxy)
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -234,6 +234,18 @@
     return day.served
 
 
+class Bound(unittest.TestCase):
+    def test_a_table_is_part_of_the_version_from_when_somebody_is_bound_to_it(self):
+        day = Day(1)
+        for far in day.fars:
+            far.life += 1       # none dials by itself
+        day.desk.place_of.clear()
+        day.books.carried_until = 0
+        for proxy, tables in ((0, ["0", "1"]), (1, ["0", "1", "2", "3"])):
+            day.desk.proxy_joined(day.relays.index(f"r{proxy}".encode()), 0, 1.0, False)
+            self.assertEqual(sorted(day.books.ledger.sheets), tables)
+
+
 class Lossy(unittest.TestCase):
     def test_all_end_on_the_intended_version_and_never_serve_from_another(self):
         self.assertGreater(sum(schedule(seed) for seed in range(600)), 100_000)
