--- a/indigodeck/cli.py
+++ b/indigodeck/cli.py
@@ -435,8 +435,9 @@
     """Which version each relay holds, and whether that is the newest as far as its tables go."""
     context, shape = obj
     answer = _pages(context, "relays", lambda page: {"after": page["relays"][-1][0]}, what="relays")
-    _say(shape, answer, [f"{relay:32} {held:>10}{'' if newest else '  behind'}" for relay, held, newest in answer["relays"]])
-    if not all(newest for _, _, newest in answer["relays"]):
+    _say(shape, answer, [f"{relay:32} {held:>10}{'' if newest else '  behind'}{'' if sure else '  (its machine has it)'}"
+                         for relay, held, newest, sure in answer["relays"]])
+    if not all(newest for _, _, newest, _ in answer["relays"]):
         sys.exit(FOUND)
 
 
--- a/indigodeck/fronts/sasp/conversation.py
+++ b/indigodeck/fronts/sasp/conversation.py
@@ -75,6 +75,8 @@
     # What comes in. Each request is answered once.
 
     def read(self, message):
+        if self.proxy is not None:
+            self.desk.spoke(self.proxy)
         try:
             codec.dispatch(message, self, self.office.bounds)
         except Malformed as error:
--- a/indigodeck/fronts/sasp/server.py
+++ b/indigodeck/fronts/sasp/server.py
@@ -122,7 +122,7 @@
                     await self._sent(data)
                     await self._taken()
                 if parcel is not None and (data is not None or self.conversation.groups):
-                    self.front.desk.acknowledged(parcel)
+                    self.front.desk.acknowledged(parcel, by_program=False)
         except StreamClosedError:
             pass
         except TooLate:
--- a/indigodeck/planner/desk.py
+++ b/indigodeck/planner/desk.py
@@ -120,13 +120,18 @@
         self.assigner.probed(server, outcome, took, load)
         self._settle("a probe")
 
-    def acknowledged(self, parcel):
-        """The transport says that the proxy has taken a parcel."""
+    def spoke(self, proxy):
+        """A proxy asked something: its program has gone on since what it took last."""
+        if self.books is not None:
+            self.books.spoke(proxy)
+
+    def acknowledged(self, parcel, by_program=True):
+        """The transport says that the proxy has taken a parcel; `by_program`: that its program has, not its machine alone."""
         if parcel.proxy in self.holdings:
             for number, ordered in parcel.marks:
                 self.assigner.applied(parcel.proxy, number, self.outside.now() - ordered)
             if self.books is not None:
-                self.books.took(parcel.proxy, parcel.version)
+                self.books.took(parcel.proxy, parcel.version, by_program)
             self._settle("an answer")
 
     def _woken(self, token):
--- a/indigodeck/versions/books.py
+++ b/indigodeck/versions/books.py
@@ -79,7 +79,7 @@
         self.wishes, self.holds = Wishes(host.kept("wishes")), Holds(self)
         self.made, self.now_there, self.epoch = {}, {}, None      # made: {table: (what it was made of, sheet)}
         self.carried_until = host.now()
-        self.since, self.held, self.carried = {}, {}, {}          # {table: number}; {proxy: number}; {relay: number} of earlier starts
+        self.since, self.held, self.sure, self.carried = {}, {}, {}, {}     # {table: number}; {proxy: number}; {relay: number} before
         self.said, self.author, self.way, self.always = [], "", "", False
         self.relays_at = self.tidy_at = host.now()
         self.carried = {relay: Number(*one) for relay, one in (host.kept("relays") or {}).items()}
@@ -108,6 +108,7 @@
         self.epoch = None
         self.ledger.out_of_charge()
         self.held.clear()
+        self.sure.clear()
 
     def because(self, text):
         """Something that the assigner said of what it does; stands in the cause of what is published next."""
@@ -172,21 +173,30 @@
         """The version that a message made now brings a relay to, or None."""
         return self.ledger.newest if self.epoch is not None else None
 
-    def took(self, proxy, version):
+    def took(self, proxy, version, by_program=True):
+        """A relay took a message that brings it to a version: its program, or so far as is known only its machine."""
         if version is not None and version >= self.held.get(proxy, version):
             self.held[proxy] = version
+            if by_program:
+                self.spoke(proxy)
+
+    def spoke(self, proxy):
+        """Its program ran after it took what it took last."""
+        if proxy in self.held:
+            self.sure[proxy] = self.held[proxy]
 
     def left(self, proxy):
-        one = self.held.pop(proxy, None)
+        one, _ = self.held.pop(proxy, None), self.sure.pop(proxy, None)
         if one is not None:
             self.carried[self.host.relay(proxy)] = one
 
     def relays(self):
-        """[(relay, version that it holds or None, whether that is the newest as far as its tables go)]"""
+        """[(relay, version that it holds, whether that is the newest as far as its tables go, whether its program has said so)]"""
         found = []
         for proxy, one in sorted(self.held.items()):
             tables = self.host.bound(proxy).values()
-            found.append((self.host.relay(proxy), str(one), all(self.since.get(str(table), one) <= one for table in tables)))
+            found.append((self.host.relay(proxy), str(one), all(self.since.get(str(table), one) <= one for table in tables),
+                          self.sure.get(proxy) == one))
         return found
 
     # What operators want.
--- a/tests/test_outlasting.py
+++ b/tests/test_outlasting.py
@@ -208,7 +208,7 @@
 
 class CopiesOf(unittest.TestCase):
     def test_whatever_is_lost_late_or_twice_all_end_with_one_book_and_no_mixture(self):
-        self.assertGreater(sum(schedule(seed) for seed in range(300)), 3000)
+        self.assertGreater(sum(schedule(seed) for seed in range(600)), 6000)
 
     def test_a_set_that_does_not_fit_a_message_comes_in_parts_or_not_at_all(self):
         net = Net(3)
@@ -267,7 +267,7 @@
                 planner.keep(host_2="draining")
                 await until(lambda: 2 not in ports(tables))
                 self.assertEqual((first.epoch, books.newest().epoch, books.newest().serial), (1, 2, 1))
-                await until(lambda: [one for one in books.relays() if one[1:] == (str(books.newest()), True)])
+                await until(lambda: [one for one in books.relays() if one[1:] == (str(books.newest()), True, True)])
                 await self.end(client, task)
 
     async def test_commands_of_operators_over_a_port_of_their_own(self):
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -219,7 +219,7 @@
     # Faults end; what was lost last shows with the next change.
     day.loss = 0
     day.run(15)
-    known = {relay for relay, _, newest in day.books.relays() if newest}
+    known = {relay for relay, _, newest, _ in day.books.relays() if newest}
     for one in day.fars:
         # Whom the books say to be up to date is so to the letter.
         if one.uid in known and one.tables.versions != one.wanted():
@@ -229,7 +229,7 @@
     for one in day.fars:
         one.serve()
         wanted = one.wanted()
-        if one.tables.versions != wanted or not all(newest for relay, _, newest in day.books.relays()) or len(day.books.relays()) < 4:
+        if one.tables.versions != wanted or not all(newest for _, _, newest, _ in day.books.relays()) or len(day.books.relays()) < 4:
             raise AssertionError(f"seed {seed}: {one.uid} ends on {one.tables.versions}, not {wanted}; {day.books.relays()}")
     return day.served
 
@@ -248,7 +248,7 @@
 
 class Lossy(unittest.TestCase):
     def test_all_end_on_the_intended_version_and_never_serve_from_another(self):
-        self.assertGreater(sum(schedule(seed) for seed in range(600)), 100_000)
+        self.assertGreater(sum(schedule(seed) for seed in range(1400)), 200_000)
 
 
     def test_what_guards_against_it_is_needed(self):
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -374,10 +374,12 @@
         for proxy in range(3):
             planner.books.took(proxy, first)
         planner.change(0, h8=1.0, h9=1.0)
-        self.assertEqual(planner.books.relays(), [("relay-0", "1.1", False), ("relay-1", "1.1", True), ("relay-2", "1.1", True)])
-        planner.books.took(0, planner.books.newest())
+        self.assertEqual(planner.books.relays(), [("relay-0", "1.1", False, True), ("relay-1", "1.1", True, True), ("relay-2", "1.1", True, True)])
+        planner.books.took(0, planner.books.newest(), by_program=False)
+        self.assertEqual(planner.books.relays()[0], ("relay-0", "1.2", True, False))
+        planner.books.spoke(0)
         planner.books.took(0, first)        # told twice, or late: it holds what is newer
-        self.assertEqual(planner.books.relays()[0], ("relay-0", "1.2", True))
+        self.assertEqual(planner.books.relays()[0], ("relay-0", "1.2", True, True))
         planner.clock += 20 * SECOND
         planner.books.settle("turn")
         self.assertEqual(planner.shelf.held["relays"], {"relay-0": [1, 2], "relay-1": [1, 1], "relay-2": [1, 1]})
