--- a/indigodeck/fronts/xds/streams.py
+++ b/indigodeck/fronts/xds/streams.py
@@ -154,13 +154,16 @@
         only then does a subscription of the whole form that came with it count."""
         if nonce not in held.underway:
             return False
-        before = list(held.underway)[:list(held.underway).index(nonce)]
+        before, unsure = list(held.underway)[:list(held.underway).index(nonce)], []
         if self.delta:
             for number in before:
-                self._lost(held, *held.underway.pop(number))
+                unsure += self._lost(held, *held.underway.pop(number))
             before = []
         for number in before + [nonce]:
             versions, removed, parcels = held.underway.pop(number)
+            if unsure:
+                # It is up to date when what it may lack is answered, too.
+                self.relay.parcels, parcels = unsure + parcels + self.relay.parcels, []
             if number == nonce and error:
                 held.refused.update(versions)
                 # It goes on with what it held: that is what is known of it now.
@@ -185,15 +188,14 @@
             self.line.end()
 
     def _lost(self, held, versions, removed, parcels):
-        """A response to which a later one's answer came first: the relay passed it by. It is sent what it still lacks, for else
-        it would hold one class of a newer version beside another of an older one for good."""
-        for name in versions.keys() & held.sent.keys():
-            if held.sent[name] == versions[name]:
-                del held.sent[name]
-                if name in held.held:
-                    held.sent[name] = held.held[name]
-        held.sent.update((name, held.held[name]) for name in removed if name in held.held)
-        self.relay.parcels = parcels + self.relay.parcels
+        """A response to which a later one's answer came first: it was passed by, or its answer was. Which is not known, so what
+        it held is told again: else the relay would hold one class of a newer version beside another of an older one for good.
+        The parcels that came with it."""
+        for name in versions:
+            held.sent.pop(name, None)
+            held.held.pop(name, None)
+        held.sent.update((name, held.held.get(name, "")) for name in removed)
+        return parcels
 
     @staticmethod
     def _wants(held, name):
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -248,7 +248,7 @@
 
 class Lossy(unittest.TestCase):
     def test_all_end_on_the_intended_version_and_never_serve_from_another(self):
-        self.assertGreater(sum(schedule(seed) for seed in range(1400)), 200_000)
+        self.assertGreater(sum(schedule(seed) for seed in [15175, *range(1400)]), 200_000)
 
 
     def test_what_guards_against_it_is_needed(self):
@@ -261,7 +261,7 @@
             return False
 
         self.assertFalse(caught())
-        with unittest.mock.patch.object(Stream, "_lost", lambda *given: None):
+        with unittest.mock.patch.object(Stream, "_lost", lambda *given: []):
             self.assertTrue(caught())
         with unittest.mock.patch.object(Stream, "_unanswered", lambda *given: None):
             self.assertTrue(caught())
