Tables are gone on with from the first list, wherever it comes from; weights ends without a trace

Started from a kept list the published shards were not known by index when the planner began, and would have been drawn anew. The command weights cancelled its client in the middle of a read, which said so on standard error.

--- a/indigodeck/cli.py
+++ b/indigodeck/cli.py
@@ -144,7 +144,7 @@
         while time.monotonic() < until and not all(tables.lines.values()) and not losses:
             await asyncio.sleep(0.05)
         client.leave()
-        task.cancel()
+        await asyncio.wait([task], timeout=1)
         return {name: tables.shares(name) for name in names if tables.lines[name]}
 
     shares = asyncio.run(ask())
--- a/indigodeck/planner/service.py
+++ b/indigodeck/planner/service.py
@@ -398,6 +398,8 @@
             self._told_of(lists.CHANGES, servers)
 
     def _told_of(self, kind, servers):
+        if kind == lists.CACHED and self.books is not None:
+            self.books.resume()     # who is named in what was published last is known from here on
         self.desk.listed(kind, servers)
         changed = [self.places[server.index] for server in servers if server.index in self.places]
         for front in self.fronts:
--- a/tests/test_outlasting.py
+++ b/tests/test_outlasting.py
@@ -326,6 +326,8 @@
             async with RestartOf(planner):
                 tables, client, task = await self.settled(planner)
                 self.assertEqual(ports(tables), {0, 1, 2, 4, 5})
+                self.assertEqual(sorted(planner.service.desk.assigner.tables[0].members), [planner.service.servers.index_of[f"host-{nth}"]
+                                                                                           for nth in (0, 1, 2, 4, 5)])
                 told = (await planner.service.asked({"what": "trust"}))["trust"]
                 self.assertEqual((told["named"], planner.service.roster.version), (6, 2))
                 # One that is older is left aside, the next one counts.
