--- a/indigodeck/fronts/xds/streams.py
+++ b/indigodeck/fronts/xds/streams.py
@@ -240,6 +240,8 @@
         entire = not self.delta and kind in (CLUSTER, LISTENER)
         if not (changed or gone or absent or (held.turn and entire)):
             held.turn = False
+            if kind == ENDPOINTS and self.relay.parcels and not held.underway:
+                self._lacks_nothing(held, found)
             return False
         if not self.delta and not entire and not changed:
             for name in gone:
@@ -260,6 +262,15 @@
         return True
 
 
+    def _lacks_nothing(self, held, found):
+        """A relay that comes with what it should hold is sent nothing and answers nothing: what waited to be told to it is
+        with it all the same."""
+        holds = {self.relay.shelf.classes[name] for name, (version, _) in found.items() if held.held.get(name) == version}
+        waiting = self.relay.parcels_out()
+        self.relay.parcels = [parcel for parcel in waiting if not parcel.places <= holds]
+        self.relay.settled([parcel for parcel in waiting if parcel.places <= holds], True)
+
+
 class Relay:
     """A relay, by its node id: its streams, its proxy, what it refused. `clerk`: `note(event, **facts)`, `epoch(proxy)`,
     `refused(uid, class, version)`, `refusals(uid)`: {class: version} of earlier streams, here or elsewhere."""
--- a/indigodeck/store/writer.py
+++ b/indigodeck/store/writer.py
@@ -14,6 +14,7 @@
 
 WAITING_MOST = 4096         # changes that may wait to be written; what comes then is refused at once
 TOGETHER_MOST = 256
+PATIENCE = 5                # seconds for what waits to be written at the end; a disk that hangs must not keep a planner from ending
 IDLE = 0.05                 # seconds without anything to write, after which a compaction goes on
 
 
@@ -65,8 +66,9 @@
         """What waits is written first."""
         self.ending = True
         self.waiting.put((None, None, None))
-        self.thread.join()
-        self.files.close()
+        self.thread.join(PATIENCE)
+        if not self.thread.is_alive():
+            self.files.close()
 
     # The thread.
 
@@ -112,7 +114,8 @@
             else:
                 batch[0][2].set_exception(error)
             return
-        except Stopped as error:
+        except Exception as error:      # whatever it is, whoever waits must be told, and the thread must go on
+            error = error if isinstance(error, Stopped) else Stopped(f"{type(error).__name__}: {error}")
             if self.stopped is None:
                 self.note("store stopped", why=str(error))
             self.stopped = str(error)
@@ -135,7 +138,11 @@
     def _compact(self):
         if not self.log.due():
             return
-        if self.log.compact():
+        try:
+            done = self.log.compact()
+        except Exception as error:      # the logs hold everything: it is left until the next start
+            self.log.undone, done = f"{type(error).__name__}: {error}", False
+        if done:
             self.note("store compacted", bytes=round(self.log.live), records=len(self.log.index))
         elif self.log.undone is not None:
             self.note("store not compacted", why=self.log.undone)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -252,6 +252,25 @@
                 if name.endswith("base"):
                     self.assertEqual(held(store), self.states[-1], (name, at))
 
+    def test_a_file_that_can_not_be_read_is_said_to_be_so_and_the_rest_is_served(self):
+        for name in self.files:
+            disk = Disk(Chance(3))
+            for other, data in self.files.items():
+                disk.put(other, data)
+            real = disk.read
+
+            def read(asked, name=name, real=real):
+                if asked == name:
+                    raise OSError(errno.EIO, "input/output error")
+                return real(asked)
+
+            disk.read = read
+            store = Log(disk)
+            self.judge(store, name, "unreadable")
+            disk.read = real
+            store.commit([[("key/0", {"nth": 10_000, "fill": ""})]])
+            self.assertEqual(store.get("key/0")["nth"], 10_000)
+
     def test_damage_amid_a_log_is_told_apart_from_an_end_that_was_torn(self):
         disk = Disk(Chance(4))
         store = Log(disk)
@@ -405,6 +424,15 @@
         self.writer.close()
         self.assertEqual(held(Log(self.disk.after_cut())), {"a": 2})
 
+    def test_a_record_of_a_form_unknown_here_is_left_uncompacted_and_writing_goes_on(self):
+        with unittest.mock.patch.object(Log, "compact", lambda log, *given: [][0]), \
+                unittest.mock.patch.object(Log, "due", lambda log: log.undone is None):
+            for nth in range(3):
+                self.assertTrue(self.writer.keep([("a", nth)]))
+            self.writer.close()
+        self.assertEqual(self.notes, ["store not compacted"])
+        self.assertEqual(held(Log(self.disk.after_cut())), {"a": 2})
+
     def test_no_more_wait_than_there_is_room_for(self):
         self.gate.clear()
         told = [self.writer.put([("a", nth)]) for nth in range(5000)]
--- a/tests/test_xds.py
+++ b/tests/test_xds.py
@@ -42,6 +42,7 @@
         super().__init__()
         self.made = {(kind, name): "1" for kind in KINDS for name in names}
         self.taken, self.parcels, self.known = [], [], {}
+        self.classes = {name: place for place, name in enumerate(names)}
         self.relay = Relay("r1", 0, self, self, self, Bounds(names=16, streams=2))
 
     def names(self):
