A later epoch's first response is newer than any before it

The guard against late responses compared serials alone, so that one of a higher epoch under a serial seen before was left out; the test of epochs at the relay caught it in a fresh clone.

--- a/indigodeck/client/xds.py
+++ b/indigodeck/client/xds.py
@@ -49,7 +49,7 @@
 
     def __init__(self, tables, names):
         self.tables, self.names = tables, names
-        self.brought, self.waiting, self.serial = False, True, 0
+        self.brought, self.waiting, self.newest = False, True, (0, 0)
 
     def opening(self, node):
         return discovery_pb2.DeltaDiscoveryRequest(
@@ -65,9 +65,9 @@
             # A controller that was replaced and does not know it: nothing of it may take effect.
             raise Refused(f"an order under epoch {epoch}, {self.tables.epoch} was seen", epoch)
         self.tables.epoch = epoch
-        if serial and serial <= self.serial:
+        if serial and (epoch, serial) <= self.newest:
             return None         # twice, or after one that was made later: what it says has been said
-        self.serial = serial
+        self.newest = epoch, serial
         answer = discovery_pb2.DeltaDiscoveryRequest(type_url=KIND, response_nonce=response.nonce)
         taken = []
         try:
