One check of who hears wishes, one way to tell them, one reader of messages

Read over once more: the books asked in four places whether they are in charge (once where all callers had asked already) and wrote wishes down and told them in two; the member's and the operators' sockets read a message by the same three lines.

--- a/indigodeck/takeover/messages.py
+++ b/indigodeck/takeover/messages.py
@@ -26,7 +26,7 @@
 NEW = {"here": {"number"}, "propose": {"number", "epoch", "members"}, "accept": {"number", "epoch", "epochs"},
        "members": {"number", "members", "epochs"}, "refusals": {"held"},
        "change": {"members"}, "force": {"members"}, "followers": {"after"}}
-# Versions and wishes (versions/copies.py): what they hold is checked where it is used.
+# Versions and wishes (versions/copies.py).
 COPIED = {"book": {"newest", "content", "wishes"}, "version": {"entry", "changes"}, "wishes": {"wishes"}, "ask wishes": set(), "noted": {"serial"},
           "want": {"number"}, "sheets": {"number", "part", "of", "sheets", "about", "parent"}}
 SECOND = {**{kind: fields | ADDED.get(kind, set()) for kind, fields in OLD.items()}, **NEW}
--- a/indigodeck/takeover/operators.py
+++ b/indigodeck/takeover/operators.py
@@ -12,6 +12,13 @@
 AT_ONCE = 64
 
 
+async def next_message(stream):
+    """What follows the length of the next message. It may be long in coming; once begun, it must end in time."""
+    head = await stream.read_bytes(messages.HEAD)
+    limit = IOLoop.current().time() + 5
+    return await with_timeout(limit, stream.read_bytes(messages.length(head)), StreamClosedError)
+
+
 class Operators(TCPServer):
     """`service`: `await asked(wish)`, `note(event, **facts)`."""
 
@@ -31,9 +38,7 @@
         self.open += 1
         try:
             while True:
-                head = await stream.read_bytes(messages.HEAD)
-                limit = IOLoop.current().time() + 5
-                data = await with_timeout(limit, stream.read_bytes(messages.length(head)), StreamClosedError)
+                data = await next_message(stream)
                 _, version, kind, fields = messages.unpack(self.key, data, lambda name: name == OPERATOR)
                 if kind != "versions":
                     raise messages.Refused(f"{kind!r} is for planners that share a fleet")
--- a/indigodeck/takeover/peers.py
+++ b/indigodeck/takeover/peers.py
@@ -12,7 +12,7 @@
 
 from . import messages
 from .charge import CALLS, Charge, heard
-from .operators import OPERATOR
+from .operators import OPERATOR, next_message
 from .refusals import Refusals
 
 SECOND = 1_000_000
@@ -130,9 +130,7 @@
         connection = object()
         try:
             while True:
-                head = await stream.read_bytes(messages.HEAD)
-                limit = IOLoop.current().time() + 5
-                data = await with_timeout(limit, stream.read_bytes(messages.length(head)), StreamClosedError)
+                data = await next_message(stream)
                 source, version, kind, fields = messages.unpack(
                     self.key, data, lambda name: name in self.peers or name == OPERATOR)
                 if version > self.newest:
--- a/indigodeck/versions/books.py
+++ b/indigodeck/versions/books.py
@@ -228,20 +228,24 @@
         return list(classes) or list(self.classes)
 
     def _wished(self, author, text):
-        if self.epoch is None:
-            raise Refused("another controller is in charge, or the store can't be written")
         self.author, self.way, self.always = author, text, True
         self.said = [text]
         self._hold_all()
+        self._tell_wishes()
+        self.settle("an operator's word")
+
+    def _hears(self):
+        if self.epoch is None:
+            raise Refused("another controller is in charge, or the store can't be written")
+
+    def _tell_wishes(self):
         document = self.wishes.document()
         self.host.keep([("wishes", document)])
         self.host.wishes_changed(document)
-        self.settle("an operator's word")
 
     def rollback(self, number, classes, author, reason):
         """Goes back to a version and holds it until released, for these classes or all. What was done, in words."""
-        if self.epoch is None:
-            raise Refused("another controller is in charge, or the store can't be written")
+        self._hears()
         names = self._named(classes)
         if self.ledger.sheets_of(Number(*number)) is None:
             raise Refused(f"version {Number(*number)} is not kept")
@@ -262,8 +266,7 @@
         return [f"tables {', '.join(tables)} stay today's: {why}" for why, tables in sorted(found.items())]
 
     def release(self, classes, author, reason):
-        if self.epoch is None:
-            raise Refused("another controller is in charge, or the store can't be written")
+        self._hears()
         gone = self.wishes.release(self._named(classes), self.epoch)
         if not gone:
             return "nothing was held: nothing changes"
@@ -271,14 +274,11 @@
         return f"{', '.join(gone)} released"
 
     def pin(self, number, on):
-        if self.epoch is None:
-            raise Refused("another controller is in charge, or the store can't be written")
+        self._hears()
         if on and Number(*number) not in self.ledger.versions:
             raise Refused(f"version {Number(*number)} is not kept")
         if self.wishes.pin(number, on, self.epoch):
-            document = self.wishes.document()
-            self.host.keep([("wishes", document)])
-            self.host.wishes_changed(document)
+            self._tell_wishes()
         return f"{Number(*number)} is {'' if on else 'not '}pinned"
 
     def wishes_copied(self, document):
