--- a/indigodeck/cli.py
+++ b/indigodeck/cli.py
@@ -61,6 +61,13 @@
         fail(f"{path}: {error}", UNREACHED)
 
 
+@main.command()
+def edge():
+    """Run a planner on the platform, told by EDGE_CONFIG (docs/edge.md)."""
+    from .edge.service import main as run
+    sys.exit(run())
+
+
 @main.command()
 @click.argument("path", type=click.Path(dir_okay=False))
 @click.option("--against", multiple=True, type=click.Choice(["equal", "frozen"]), help="Play a baseline beside it.")
--- /dev/null
+++ b/indigodeck/edge/desk.py
@@ -0,0 +1,159 @@
+"""The assigner's host on the platform, free of I/O: its calls become orders, the platform's ids become indices.
+
+The orders of one call of the assigner are one call to the relay. An index is given up when nothing can name its server
+any more; it is never used again. A fault in the handling of one message is noted, and that message is lost, no more.
+"""
+import traceback
+from typing import Protocol
+
+from ..choice import Assigner
+from ..host import CACHED, CHANGES, WHOLE, Server
+
+MARKS_MOST = 256
+AGAIN = 50_000          # between two looks whether the relay has caught up
+
+
+class Outside(Protocol):
+    """What the desk may ask of the program around it."""
+
+    def now(self) -> int: ...
+
+    def later(self, after: int, call) -> None: ...
+
+    def wanted(self) -> None:
+        """Orders wait for the relay."""
+
+    def probe(self, server: int, dial: tuple) -> None:
+        """Answer with the desk's `probed`."""
+
+    def tell(self, peer: int | None, data: bytes) -> None: ...
+
+    def fetch(self) -> None:
+        """Ask for the whole list."""
+
+    def note(self, text: str) -> None: ...
+
+
+class Desk:
+    """`words`: the codec's, for the same charter; `relay`: takes the orders."""
+
+    def __init__(self, outside, words, relay, charter, seed, make=Assigner):
+        self.outside, self.words, self.relay = outside, words, relay
+        self.index_of, self.servers, self.count = {}, {}, 0      # {name: index}; {index: (entry, Server)}
+        self.orders, self.marks, self.passed_over = [], {}, 0
+        self.assigner = make(self, charter, seed)
+
+    # What happens.
+
+    def _tell(self, method, *given):
+        try:
+            method(*given)
+        except Exception:       # the assigner's state may have changed halfway; what it ordered until then stands
+            self.outside.note("a message was lost to a fault: " + traceback.format_exc(limit=-4))
+        orders, self.orders = self.orders, []
+        if orders:
+            self.relay.order(orders)
+            self.outside.wanted()
+
+    def listed(self, catalog, cached=False):
+        """A list as the codec read it (`Catalog`)."""
+        servers = [self._server(entry) for entry in catalog.entries]
+        if catalog.whole:
+            # An entry that can't be read says nothing against the server it names.
+            servers += [self.servers[self.index_of[name]][1] for name in sorted(catalog.spoilt & self.index_of.keys())]
+        self._tell(self.assigner.listed, CACHED if cached else WHOLE if catalog.whole else CHANGES, servers)
+
+    def _server(self, entry):
+        index = self.index_of.get(entry.name)
+        if index is None:
+            index = self.index_of[entry.name] = self.count
+            self.count += 1
+        known = self.servers.get(index)
+        # The same start has the same time however often it is listed; none lies ahead, as clocks may say.
+        started = known[1].started if known and known[0].born == entry.born else min(entry.born, self.outside.now())
+        server = Server(index, entry.name.encode(), entry.cell, entry.kind, entry.zone, entry.weight, started, entry.state)
+        self.servers[index] = entry, server
+        return server
+
+    def proxy_joined(self, proxy, zone, rate, fresh):
+        self._tell(self.assigner.proxy_joined, proxy, zone, rate, fresh)
+
+    def proxy_left(self, proxy):
+        self.relay.left(proxy)
+        self._tell(self.assigner.proxy_left, proxy)
+
+    def heard(self, zone, name, tries, failed, took, span, load):
+        index = self.index_of.get(name)
+        if index is None:
+            self.passed_over += 1
+        else:
+            self._tell(self.assigner.heard, zone, index, tries, failed, took, span, load)
+
+    def demand(self, proxy, place, exchanges, failed, span):
+        self._tell(self.assigner.demand, proxy, place, exchanges, failed, span)
+
+    def applied(self, proxy, number, took):
+        """An answer to a mark; one that says it took longer than the mark exists is spoilt."""
+        if number in self.marks and took <= self.outside.now() - self.marks[number]:
+            self._tell(self.assigner.applied, proxy, number, took)
+        else:
+            self.passed_over += 1
+
+    def probed(self, server, outcome, took, load):
+        if server in self.servers:
+            self._tell(self.assigner.probed, server, outcome, took, load)
+
+    def told(self, peer, data):
+        self._tell(self.assigner.told, peer, data)
+
+    def _woken(self, token):
+        if self.relay.behind():
+            # What can't be sent is not added to: the channel would be written it all at once afterwards.
+            self.outside.later(AGAIN, lambda: self._woken(token))
+        else:
+            self._tell(self.assigner.woken, token)
+
+    # What the assigner may do.
+
+    def now(self):
+        return self.outside.now()
+
+    def wake(self, after, token):
+        self.outside.later(after, lambda: self._woken(token))
+
+    def line(self, table, server, weight):
+        self.orders.append(self.words.put(table, self.servers[server][0].name, weight))
+
+    def clear(self, table):
+        self.orders.append(self.words.wipe(table))
+
+    def bind(self, proxy, table, classes):
+        self.orders.append(self.words.attach(proxy, table, classes))
+
+    def withdraw(self, server, out):
+        self.orders.append(self.words.eject(self.servers[server][0].name, out))
+
+    def admit(self, table, classes, level, tries):
+        self.orders.append(self.words.gate("*" if table < 0 else table, classes, level, tries))
+
+    def mark(self, number, everyone):
+        self.marks.pop(number, None)
+        self.marks[number] = self.outside.now()
+        if len(self.marks) > MARKS_MOST:
+            del self.marks[next(iter(self.marks))]
+        self.orders.append(self.words.fence(number, everyone))
+
+    def probe(self, server):
+        self.outside.probe(server, self.servers[server][0].dial)
+
+    def tell(self, peer, data):
+        self.outside.tell(peer, data)
+
+    def watch(self, on):
+        """The list is watched all the time."""
+
+    def fetch(self):
+        self.outside.fetch()
+
+    def log(self, text):
+        self.outside.note(text)
--- /dev/null
+++ b/indigodeck/edge/dialling.py
@@ -0,0 +1,49 @@
+"""Outgoing connections of a planner on the platform: addresses are numbers here, and every wait has an end."""
+import socket
+from datetime import timedelta
+
+from tornado.gen import sleep, with_timeout
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.util import TimeoutError as TooLate
+
+from .codec import LINE_MOST
+
+SECOND = 1_000_000
+PAUSE, PAUSE_MOST = 50_000, SECOND
+LOST = (OSError, StreamClosedError, TooLate)
+
+
+async def within(patience, awaitable):
+    """What is awaited, or TooLate after `patience` microseconds."""
+    return await with_timeout(timedelta(microseconds=patience), awaitable, quiet_exceptions=LOST)
+
+
+async def dial(place, patience):
+    """A stream to (address, port), or one of `LOST`."""
+    family = socket.AF_INET6 if ":" in place[0] else socket.AF_INET
+    stream = IOStream(socket.socket(family), max_buffer_size=2 * LINE_MOST, max_write_buffer_size=LINE_MOST)
+    try:
+        await within(patience, stream.connect(place))
+        stream.set_nodelay(True)
+        return stream
+    except BaseException:
+        stream.close()
+        raise
+
+
+async def next_line(stream, patience):
+    return await within(patience, stream.read_until(b"\n", max_bytes=LINE_MOST))
+
+
+class Pauses:
+    """Waits between tries, longer each time, by chance in their last part so that planners are not in step."""
+
+    def __init__(self, chance):
+        self.chance, self.pause = chance, PAUSE
+
+    def over(self):
+        self.pause = PAUSE
+
+    async def rest(self):
+        pause, self.pause = self.pause, min(2 * self.pause, PAUSE_MOST)
+        await sleep((pause // 2 + self.chance.below(pause)) / SECOND)
--- /dev/null
+++ b/indigodeck/edge/link.py
@@ -0,0 +1,138 @@
+"""The sockets to the relay: one for calls, two for news, so that one of them may break without anybody being missed."""
+from tornado.gen import sleep
+from tornado.ioloop import IOLoop
+from tornado.locks import Event
+
+from . import codec
+from .codec import Malformed
+from .dialling import LOST, SECOND, Pauses, dial, next_line, within
+
+CONNECT = SECOND // 2
+ANSWER = SECOND // 5        # the relay answers within 50 ms or never; the rest is for this planner's own stalls
+IDLE = SECOND               # the relay closes idle connections, and what is sent into that moment is lost
+SILENCE = 3 * SECOND        # signs of life come every second
+LISTENERS = 2
+
+
+class Calls:
+    """Sends what waits in `relay` (relay.py), one call at a time. `place`: (address, port), may change at any time."""
+
+    def __init__(self, relay, place, now, note, chance):
+        self.relay, self.place, self.now, self.note = relay, place, now, note
+        self.pauses, self.wanted = Pauses(chance), Event()
+        self.stream = self.dialled = None
+        self.used_at = 0
+
+    async def run(self):
+        while True:
+            wait = self.relay.wait()
+            if wait is None:
+                self.wanted.clear()
+                await self.wanted.wait()
+            elif wait:
+                await sleep(wait / SECOND)
+            else:
+                await self._call()
+
+    async def _call(self):
+        try:
+            stream = await self._connected()
+        except LOST as error:
+            self.note(f"the relay can't be reached: {error!r}")
+            return await self.pauses.rest()
+        try:
+            # Made now, with what stands by now: much may have been ordered while the connection came up.
+            await within(ANSWER, stream.write(self.relay.call()))
+            self.relay.answered(await next_line(stream, ANSWER))
+            self.pauses.over()
+            self.used_at = self.now()
+        except (*LOST, Malformed) as error:
+            self.relay.lost()
+            stream.close()
+            self.note(f"a call's answer is lost: {error!r}")
+
+    async def _connected(self):
+        stale = self.dialled != self.place or self.now() - self.used_at > IDLE
+        if self.stream is not None and (stale or self.stream.closed()):
+            self.stream.close()
+            self.stream = None
+        if self.stream is None:
+            place = self.place
+            self.stream, self.dialled = await dial(place, CONNECT), place
+        return self.stream
+
+
+class Listener:
+    """One connection for news at one address, dialled again until it is retired."""
+
+    def __init__(self, news, desk, words, place, note, chance):
+        self.news, self.desk, self.words, self.place, self.note = news, desk, words, place, note
+        self.pauses, self.retired = Pauses(chance), False
+
+    async def run(self):
+        while not self.retired:
+            stream = None
+            try:
+                stream = await dial(self.place, CONNECT)
+                await within(CONNECT, stream.write(codec.call(0, "subscribe")))
+                await self._follow(stream)
+            except (*LOST, Malformed) as error:
+                self.note(f"news from {self.place[0]}:{self.place[1]} break off: {error!r}")
+            finally:
+                if stream is not None:
+                    stream.close()
+                self.news.closed(self)
+            await self.pauses.rest()
+
+    async def _follow(self, stream):
+        begun = False
+        while True:
+            data = await next_line(stream, SILENCE)
+            kind, given = codec.notification(data)
+            if not begun:
+                begun = True
+                self.news.opened(self)
+                self.pauses.over()
+            if kind is not None:
+                self._take(kind, given)
+
+    def _take(self, kind, given):
+        try:
+            if kind == "ping":
+                self.news.alive(self)
+            elif kind == "hello":
+                self.news.hello(self, *self.words.hello(given))
+            elif kind == "bye":
+                self.news.bye(self, self.words.bye(given))
+            elif kind == "ack":
+                self.desk.applied(*self.words.ack(given))
+        except Malformed as error:
+            self.note(f"{kind} passed over: {error}")
+
+
+class Link:
+    """All of the way to the relay, and its moves to other addresses."""
+
+    def __init__(self, relay, news, desk, words, now, note, chance):
+        self.relay, self.news, self.desk, self.words, self.note = relay, news, desk, words, note
+        self.chance, self.listeners = chance, []
+        self.calls = Calls(relay, None, now, note, chance)
+
+    def start(self, place):
+        IOLoop.current().add_callback(self.calls.run)
+        self.move(place)
+
+    def move(self, place):
+        """To another address. The old one closes by itself; until then its news bridge the beginning of the new."""
+        if place == self.calls.place:
+            return
+        self.calls.place = place
+        for listener in self.listeners:
+            listener.retired = True
+        self.listeners = [Listener(self.news, self.desk, self.words, place, self.note, self.chance)
+                          for _ in range(LISTENERS)]
+        for listener in self.listeners:
+            IOLoop.current().add_callback(listener.run)
+
+    def wanted(self):
+        self.calls.wanted.set()
--- /dev/null
+++ b/indigodeck/edge/service.py
@@ -0,0 +1,131 @@
+"""Puts a planner on the platform together, and runs it until it is told to end."""
+import asyncio
+import logging
+import os
+import signal
+import sys
+import time
+
+from tornado.ioloop import IOLoop
+
+from ..chance import Chance
+from ..charter import Malformed
+from .berth import Berth
+from .desk import Desk
+from .discovery import Discovery
+from .door import Door
+from .link import Link
+from .news import News
+from .peers import Peers
+from .probes import Probes
+from .relay import Relay
+
+SECOND = 1_000_000
+LINES_MOST = 200        # of the log within ten seconds
+
+
+class Bounded(logging.Filter):
+    """Lets so many lines through in ten seconds; says how many were left out."""
+
+    def __init__(self):
+        super().__init__()
+        self.since, self.lines, self.left_out = 0.0, 0, 0
+
+    def filter(self, record):
+        if record.created - self.since > 10:
+            if self.left_out:
+                record.msg = f"{record.msg} (after {self.left_out} lines left out)"
+            self.since, self.lines, self.left_out = record.created, 0, 0
+        self.lines += 1
+        self.left_out += self.lines > LINES_MOST
+        return self.lines <= LINES_MOST
+
+
+class Service:
+    """Everything that one planner runs. `berth`: what it is told at start."""
+
+    def __init__(self, berth):
+        self.berth, self.log = berth, logging.getLogger("indigodeck")
+        # Unix time as it was at the start, and grown steadily since: what the list says of starts is in Unix time.
+        self.clock_gap = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+        self.link = None
+        words, chance = berth.words, Chance(berth.seed)
+        self.probes = Probes(words, self.now, lambda *found: self.desk.probed(*found))
+        self.relay = Relay(self.now, self.note)
+        self.desk = Desk(self, words, self.relay, berth.charter, berth.seed)
+        self.news = News(self.desk, self.now)
+        self.door = Door(self.desk, words, self.now, berth.sockets)
+        self.discovery = Discovery(berth.discovery, words, self.desk.listed, self.note, chance)
+        self.link = Link(self.relay, self.news, self.desk, words, self.now, self.note, chance)
+        self.peers = Peers(berth, self.desk.told, self.note) if berth.peer_listen else None
+
+    # What the desk may ask.
+
+    def now(self):
+        return time.monotonic_ns() // 1000 + self.clock_gap
+
+    def later(self, after, call):
+        IOLoop.current().call_later(after / SECOND, call)
+
+    def wanted(self):
+        if self.link is not None:
+            self.link.wanted()
+
+    def probe(self, server, dial):
+        self.probes.ask(server, dial)
+
+    def tell(self, peer, data):
+        if self.peers is not None:
+            self.peers.tell(peer, data)
+
+    def fetch(self):
+        self.discovery.fetch()
+
+    def note(self, text):
+        self.log.info(text)
+
+    # Its life.
+
+    def start(self):
+        if self.berth.known is not None:
+            self.desk.listed(self.berth.known._replace(whole=True), cached=True)
+        self.door.open(self.berth.listen)
+        self.discovery.start()
+        self.link.start(self.berth.registry)
+        self.note(f"{self.berth.name} listens on {self.berth.listen[0]}:{self.berth.listen[1]}")
+
+    def reload(self):
+        """A new configuration: discovery and the relay may be elsewhere. One that can't be read leaves the old standing."""
+        try:
+            berth = Berth(self.berth.path)
+        except (Malformed, OSError) as error:
+            return self.note(f"the configuration stays as it was: {error}")
+        self.note(f"discovery at {berth.discovery}, the relay at {berth.registry}")
+        self.discovery.move(berth.discovery)
+        self.link.move(berth.registry)
+
+
+async def serve(berth):
+    loop, ended = asyncio.get_running_loop(), asyncio.Event()
+    service = Service(berth)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, service.reload)
+    service.start()
+    await ended.wait()
+    service.note("told to end")
+
+
+def main():
+    """Exit codes: 0 told to end, 2 the configuration can't be used."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(logging.Formatter("%(asctime)s.%(msecs)03d %(name)s %(message)s", "%H:%M:%S"))
+    handler.addFilter(Bounded())
+    logging.basicConfig(level=logging.INFO, handlers=[handler])
+    try:
+        berth = Berth(os.environ.get("EDGE_CONFIG", ""))
+    except (Malformed, OSError) as error:
+        print(f"indigodeck edge: {error}", file=sys.stderr)
+        return 2
+    asyncio.run(serve(berth))
+    return 0
--- a/indigodeck/planner/reach.py
+++ b/indigodeck/planner/reach.py
@@ -39,11 +39,11 @@
         except (OSError, HTTPClientError):
             return "unreachable", None
         outcome = "ok" if answer.code < 400 else "full" if answer.code == 503 else "error"
-        return outcome, self._read(answer.headers.get(HEADER, ""))
+        return outcome, self.report_in(answer)
 
-    @staticmethod
-    def _read(header):
-        kind, _, text = header.strip().partition(" ")
+    def report_in(self, answer):
+        """The load report that an answer carries, or None."""
+        kind, _, text = answer.headers.get(HEADER, "").strip().partition(" ")
         try:
             given = json.loads(text) if kind == "JSON" else None
             return report_of(given, given.get("named_metrics", {}))
--- a/indigodeck/simhost/adapter.py
+++ b/indigodeck/simhost/adapter.py
@@ -1,6 +1,7 @@
 """Turns the simulator's events straight into calls on an assigner, and its orders into records."""
 import struct
 
+from ..charter import read_charter
 from ..choice import Assigner
 from ..host import CACHED, CHANGES, DRAINING, GONE, READY, WHOLE, Server
 from . import codec
@@ -178,7 +179,7 @@
         return self.reply.take()
 
     def start(self, number, seed, data):
-        charter = codec.read_charter(data)
+        charter = read_charter(data)
         desk = self.desks[number] = Desk(number, self.reply)
         desk.columns = charter["load_columns"]
         desk.classes, desk.zones = len(charter["classes"]), charter["zones"]
