--- a/indigodeck/edge/desk.py
+++ b/indigodeck/edge/desk.py
@@ -33,6 +33,9 @@
 
     def note(self, text: str) -> None: ...
 
+    def trace(self, kind: str, said) -> None:
+        """What the assigner was told, or has ordered: to compare with what passes on the sockets."""
+
 
 class Desk:
     """`words`: the codec's, for the same charter; `relay`: takes the orders."""
@@ -46,12 +49,14 @@
     # What happens.
 
     def _tell(self, method, *given):
+        self.outside.trace(method.__name__, given)
         try:
             method(*given)
         except Exception:       # the assigner's state may have changed halfway; what it ordered until then stands
             self.outside.note("a message was lost to a fault: " + traceback.format_exc(limit=-4))
         orders, self.orders = self.orders, []
         if orders:
+            self.outside.trace("orders", orders)
             self.relay.order(orders)
             self.outside.wanted()
 
--- a/indigodeck/edge/service.py
+++ b/indigodeck/edge/service.py
@@ -1,5 +1,6 @@
 """Puts a planner on the platform together, and runs it until it is told to end."""
 import asyncio
+import json
 import logging
 import os
 import signal
@@ -22,6 +23,7 @@
 
 SECOND = 1_000_000
 LINES_MOST = 200        # of the log within ten seconds
+TRACE = "INDIGODECK_TRACE"      # set: all that the assigner is told and orders is written out, without a bound
 
 
 class Bounded(logging.Filter):
@@ -48,7 +50,7 @@
         self.berth, self.log = berth, logging.getLogger("indigodeck")
         # Unix time as it was at the start, and grown steadily since: what the list says of starts is in Unix time.
         self.clock_gap = time.time_ns() // 1000 - time.monotonic_ns() // 1000
-        self.link = None
+        self.link, self.traced = None, bool(os.environ.get(TRACE))
         words, chance = berth.words, Chance(berth.seed)
         self.probes = Probes(words, self.now, lambda *found: self.desk.probed(*found))
         self.relay = Relay(self.now, self.note)
@@ -84,6 +86,10 @@
     def note(self, text):
         self.log.info(text)
 
+    def trace(self, kind, said):
+        if self.traced:
+            print(json.dumps([self.now(), kind, said], default=repr), file=sys.stderr)
+
     # Its life.
 
     def start(self):
