What a relay holds from before the first start is written down is published too

Seen: make test failed once in test_commands_of_operators: no version was ever published. At fault: planner/service.py _count_start, which put the books in charge but did not tell the desk that there is something to look at, as in_charge does: a relay that joined before the start was written down was laid out under no epoch, and nothing changed after that.

--- a/indigodeck/planner/service.py
+++ b/indigodeck/planner/service.py
@@ -232,6 +232,8 @@
         def written(told):
             if told.exception() is None:
                 self.books.in_charge(nth)
+                # A relay may have been served before this was written down: what it holds is published now.
+                self.desk.changed = True
             elif not self.ending:
                 self.later(RETRY, lambda: self._count_start(nth))
         IOLoop.current().add_future(self.store.put([("starts", nth)]), written)
