Levels are cut 0.15 below what was shown at most, and rise after half the time of reports

At fault: choice.py Valve.turn, target (ABLE_PART - min(0.5, failing)), which went down to 0.4 of what servers had shown, and steps up that each waited for a whole echo, six seconds here.

--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -51,11 +51,11 @@
         strain += min(0.15, max(0.0, busy - self.seen[0]))
         slower = busy > 1.25 * self.calmest or failing > 0.02 or busy > 0.6
         if strain > BUSY and slower and may_cut and (settled or failing > self.failed + 0.15):
-            # Below it by the part that fails, to let the queues drain before clients' repeats fill them.
-            self.target, self.failed, self.cut = (ABLE_PART - min(0.5, failing)) * able, failing, True
+            # A little below it, to let queues drain; by all that fails, levels stayed shut long after the jam.
+            self.target, self.failed, self.cut = (ABLE_PART - min(0.15, failing)) * able, failing, True
             part = max(self.open * self.target / tried, 0.6 * self.target / self.asked)
             self.open = max(0.1, min(self.open, part))
-        elif self.open < 1 and busy < CALM and (settled or self.cut):
+        elif self.open < 1 and busy < CALM and (now >= self.turned_at + echo // 2 or self.cut):
             # A step, no further than was asked for: amid a release few accept, twice the flow is too much.
             self.target, self.failed, self.cut = max(self.target * 1.06, ABLE_PART * able), 0.0, False
             part = min(self.open * self.target / tried, max(self.open * 1.15, self.target / self.asked))
