--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -51,7 +51,7 @@
         strain += min(0.15, max(0.0, busy - self.seen[0]))
         slower = busy > 1.25 * self.calmest or failing > 0.02 or busy > 0.6
         if strain > BUSY and slower and may_cut and (settled or failing > self.failed + 0.15):
-            # A little below it, to let queues drain; by all that fails, levels stayed shut long after the jam.
+            # A little below it, to let queues drain; by all that fails, levels stayed shut long after a jam.
             self.target, self.failed, self.cut = (ABLE_PART - min(0.15, failing)) * able, failing, True
             part = max(self.open * self.target / tried, 0.6 * self.target / self.asked)
             self.open = max(0.1, min(self.open, part))
