A fault in one of the program's loops is noted, and the loop begins anew

Seen by reading over the sockets' loops: an error that nobody foresaw in link.py Calls.run, Listener.run or discovery.py _run ended that loop for good, and the planner would have gone on without orders or news; berth.py took a 'known' that is a list for an object, and service.py reload let other errors than its own through to the loop.

--- a/indigodeck/edge/dialling.py
+++ b/indigodeck/edge/dialling.py
@@ -1,5 +1,6 @@
 """Outgoing connections of a planner on the platform: addresses are numbers here, and every wait has an end."""
 import socket
+import traceback
 from datetime import timedelta
 
 from tornado.gen import sleep, with_timeout
@@ -35,6 +36,16 @@
     return await within(patience, stream.read_until(b"\n", max_bytes=LINE_MOST))
 
 
+async def for_good(run, note):
+    """Runs a loop that must not end: a fault in it is noted, and it begins anew. What it returns ends it."""
+    while True:
+        try:
+            return await run()
+        except Exception:
+            note("a loop begins anew after a fault: " + traceback.format_exc(limit=-4))
+            await sleep(PAUSE_MOST / SECOND)
+
+
 class Pauses:
     """Waits between tries, longer each time, by chance in their last part so that planners are not in step."""
 
--- a/indigodeck/edge/discovery.py
+++ b/indigodeck/edge/discovery.py
@@ -7,7 +7,7 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from .codec import Malformed, read_object
-from .dialling import LOST, SECOND, Pauses
+from .dialling import LOST, SECOND, Pauses, for_good
 
 PATH = "/catalog/members"
 WAIT = SECOND               # of one watch; changes are told within it
@@ -25,7 +25,8 @@
 
     def start(self):
         self.turn += 1
-        IOLoop.current().add_callback(self._run, self.turn)
+        turn = self.turn
+        IOLoop.current().add_callback(for_good, lambda: self._run(turn), self.note)
 
     def move(self, place):
         """To another address: the whole list there first, whatever is under way at the old one."""
--- a/indigodeck/edge/link.py
+++ b/indigodeck/edge/link.py
@@ -5,7 +5,7 @@
 
 from . import codec
 from .codec import Malformed
-from .dialling import LOST, SECOND, Pauses, dial, next_line, within
+from .dialling import LOST, SECOND, Pauses, dial, for_good, next_line, within
 
 CONNECT = SECOND // 2
 ANSWER = SECOND // 5        # the relay answers within 50 ms or never; the rest is for this planner's own stalls
@@ -24,6 +24,7 @@
         self.used_at = 0
 
     async def run(self):
+        self.relay.lost()       # begun anew after a fault: nobody knows what became of a call
         while True:
             wait = self.relay.wait()
             if wait is None:
@@ -119,7 +120,7 @@
         self.calls = Calls(relay, None, now, note, chance)
 
     def start(self, place):
-        IOLoop.current().add_callback(self.calls.run)
+        IOLoop.current().add_callback(for_good, self.calls.run, self.note)
         self.move(place)
 
     def move(self, place):
@@ -132,7 +133,7 @@
         self.listeners = [Listener(self.news, self.desk, self.words, place, self.note, self.chance)
                           for _ in range(LISTENERS)]
         for listener in self.listeners:
-            IOLoop.current().add_callback(listener.run)
+            IOLoop.current().add_callback(for_good, listener.run, self.note)
 
     def wanted(self):
         self.calls.wanted.set()
--- a/indigodeck/edge/probes.py
+++ b/indigodeck/edge/probes.py
@@ -47,7 +47,10 @@
             while self.waiting:
                 server, dial = self.waiting.popleft()
                 begun = self.now()
-                outcome, load = await self.reach.exchange(dial, PATIENCE / SECOND)
+                try:
+                    outcome, load = await self.reach.exchange(dial, PATIENCE / SECOND)
+                except Exception:       # a probe that is never answered would be the server's last
+                    outcome, load = "error", None
                 self.probed(server, outcome, self.now() - begun, load)
         finally:
             self.under_way -= 1
--- a/indigodeck/edge/service.py
+++ b/indigodeck/edge/service.py
@@ -104,7 +104,7 @@
         """A new configuration: discovery and the relay may be elsewhere. One that can't be read leaves the old standing."""
         try:
             berth = Berth(self.berth.path)
-        except (Malformed, OSError) as error:
+        except Exception as error:      # whatever is wrong with a file, it must not end a planner that serves
             return self.note(f"the configuration stays as it was: {error}")
         self.note(f"discovery at {berth.discovery}, the relay at {berth.registry}")
         self.discovery.move(berth.discovery)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -605,6 +605,19 @@
         await self.until(lambda: told.applications)
         self.assertEqual(told.applications, [(17, 905, 310_400)])
 
+    @gen_test(timeout=30)
+    async def test_a_fault_ends_no_loop(self):
+        told = Told()
+
+        def joined(proxy, zone, rate, fresh):
+            told.said.append(proxy)
+            if len(told.said) == 2:
+                raise KeyError("what any fault looks like")
+        told.proxy_joined = joined
+        made = self.linked(told)
+        await self.until(lambda: {0, 1, 2, 3} <= set(told.said) and len(made.news.views) == 2)
+        self.assertIn("begins anew", "".join(self.noted))
+
     def opened(self, desk):
         made = door.Door(desk, WORDS, self.now, 128)
         sockets = bind_sockets(0, "127.0.0.1")
