--- a/indigodeck/edge/dialling.py
+++ b/indigodeck/edge/dialling.py
@@ -14,6 +14,10 @@
 LOST = (OSError, StreamClosedError, TooLate)
 
 
+def family(place):
+    return socket.AF_INET6 if ":" in place[0] else socket.AF_INET
+
+
 async def within(patience, awaitable):
     """What is awaited, or TooLate after `patience` microseconds."""
     return await with_timeout(timedelta(microseconds=patience), awaitable, quiet_exceptions=LOST)
@@ -21,8 +25,7 @@
 
 async def dial(place, patience):
     """A stream to (address, port), or one of `LOST`."""
-    family = socket.AF_INET6 if ":" in place[0] else socket.AF_INET
-    stream = IOStream(socket.socket(family), max_buffer_size=2 * LINE_MOST, max_write_buffer_size=LINE_MOST)
+    stream = IOStream(socket.socket(family(place)), max_buffer_size=2 * LINE_MOST, max_write_buffer_size=LINE_MOST)
     try:
         await within(patience, stream.connect(place))
         stream.set_nodelay(True)
--- a/indigodeck/edge/discovery.py
+++ b/indigodeck/edge/discovery.py
@@ -6,6 +6,7 @@
 from tornado.ioloop import IOLoop
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from ..planner.reach import authority
 from .codec import Malformed, read_object
 from .dialling import LOST, SECOND, Pauses, for_good
 
@@ -44,7 +45,7 @@
             patience = (LATE if asked is None else WAIT + LATE) / SECOND
             try:
                 answer = await self.client.fetch(HTTPRequest(
-                    f"http://{self._host()}{PATH}{query}", connect_timeout=LATE / SECOND / 2, request_timeout=patience))
+                    f"http://{authority(self.place)}{PATH}{query}", connect_timeout=LATE / SECOND / 2, request_timeout=patience))
                 catalog = self.words.catalog(read_object(answer.body))
             except (*LOST, HTTPClientError, Malformed) as error:
                 if turn == self.turn:
@@ -61,6 +62,3 @@
                 self.version = catalog.version
             if catalog.whole or catalog.entries:
                 self.listed(catalog)
-
-    def _host(self):
-        return f"[{self.place[0]}]:{self.place[1]}" if ":" in self.place[0] else f"{self.place[0]}:{self.place[1]}"
--- a/indigodeck/edge/door.py
+++ b/indigodeck/edge/door.py
@@ -38,7 +38,6 @@
                 if lines % LINES_AT_ONCE == 0:
                     await sleep(0)
         except Malformed as error:
-            self.door.refused += 1
             self._refuse(str(error))
         except (*LOST, StreamBufferFullError):
             pass
@@ -79,7 +78,7 @@
         self.desk, self.words, self.now = desk, words, now
         self.strangers, self.collectors = {}, {zone: [] for zone in words.zones.values()}
         self.strangers_most = max(8, sockets - OWN - COLLECTORS_MOST * len(self.collectors)) // 2
-        self.refused = self.passed_over = 0
+        self.passed_over = 0
 
     def open(self, place):
         self.add_sockets(bind_sockets(place[1], place[0], backlog=BACKLOG))
--- a/indigodeck/edge/relay.py
+++ b/indigodeck/edge/relay.py
@@ -32,7 +32,7 @@
         self.waiting, self.under_way = {}, None       # {key: order}; the same, or None
         self.number, self.since = 0, None
         self.pause, self.not_before = PAUSE, 0
-        self.bytes_most, self.unknown, self.repeated = codec.ORDERS_MOST, 0, 0
+        self.bytes_most, self.unknown = codec.ORDERS_MOST, 0
 
     def order(self, orders):
         """Takes the orders of one call of the assigner."""
@@ -112,7 +112,6 @@
         if self.under_way is not None:
             orders, self.under_way = list(self.under_way.items()), None
             self.unknown += 1
-            self.repeated += len(orders)
             self._again(orders)
 
     def _again(self, orders):
--- a/indigodeck/edge/service.py
+++ b/indigodeck/edge/service.py
@@ -11,6 +11,7 @@
 
 from ..chance import Chance
 from ..charter import Malformed
+from ..clock import now
 from .berth import Berth
 from .desk import Desk
 from .discovery import Discovery
@@ -49,8 +50,8 @@
     def __init__(self, berth):
         self.berth, self.log = berth, logging.getLogger("indigodeck")
         # Unix time as it was at the start, and grown steadily since: what the list says of starts is in Unix time.
-        self.clock_gap = time.time_ns() // 1000 - time.monotonic_ns() // 1000
-        self.link, self.traced = None, bool(os.environ.get(TRACE))
+        self.clock_gap = time.time_ns() // 1000 - now()
+        self.traced = bool(os.environ.get(TRACE))
         words, chance = berth.words, Chance(berth.seed)
         self.probes = Probes(words, self.now, lambda *found: self.desk.probed(*found))
         self.relay = Relay(self.now, self.note)
@@ -64,14 +65,13 @@
     # What the desk may ask.
 
     def now(self):
-        return time.monotonic_ns() // 1000 + self.clock_gap
+        return now() + self.clock_gap
 
     def later(self, after, call):
         IOLoop.current().call_later(after / SECOND, call)
 
     def wanted(self):
-        if self.link is not None:
-            self.link.wanted()
+        self.link.wanted()
 
     def probe(self, server, dial):
         self.probes.ask(server, dial)
--- a/indigodeck/planner/reach.py
+++ b/indigodeck/planner/reach.py
@@ -12,6 +12,11 @@
 HEADER = "endpoint-load-metrics"
 
 
+def authority(place):
+    """(address, port) as it stands in a URL."""
+    return f"[{place[0]}]:{place[1]}" if ":" in place[0] else f"{place[0]}:{place[1]}"
+
+
 class HttpReach:
     """`reports`: the charter's section; `safe`: a class whose exchanges may be done twice."""
 
@@ -27,8 +32,7 @@
         return (await self._fetch(where, self.path, patience))[1]
 
     async def _fetch(self, where, path, patience):
-        address = f"[{where[0]}]" if ":" in where[0] else where[0]
-        request = HTTPRequest(f"http://{address}:{where[1]}{path}", connect_timeout=min(patience, 1.0),
+        request = HTTPRequest(f"http://{authority(where)}{path}", connect_timeout=min(patience, 1.0),
                               request_timeout=patience, headers={"Relay": "planner"})
         try:
             answer = await self.client.fetch(request, raise_error=False)
--- a/indigodeck/records.py
+++ b/indigodeck/records.py
@@ -143,8 +143,8 @@
 
     def charge(self, proxies, numbers, lines, now):
         self.queue(now)
-        self.waiting += self.cost(numbers, lines)
-        self.ordered += self.cost(numbers, lines)
+        cost = self.cost(numbers, lines)
+        self.waiting, self.ordered = self.waiting + cost, self.ordered + cost
         for number in numbers - self.reached:
             proxies[number].written.append(now)
         self.reached |= numbers
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -7,12 +7,12 @@
 import subprocess
 import sys
 import tempfile
-import time
 import unittest
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from rig import SECOND, Loop
+from test_live import until
 from test_simhost import SETTINGS
 from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
@@ -552,12 +552,6 @@
         self.script = Script()
         self.relay = Relay(now, self.noted.append)
 
-    async def until(self, true, seconds=10):
-        end = time.monotonic() + seconds
-        while not true():
-            self.assertLess(time.monotonic(), end, self.noted[-5:])
-            await dialling.sleep(0.01)
-
     def linked(self, desk):
         from indigodeck.chance import Chance
         news = News(desk, self.now)
@@ -572,7 +566,7 @@
         for number in range(4):
             self.relay.order([WORDS.put(number, "s-1", 1.0), WORDS.put(0, "s-2", float(number))])
             made.wanted()
-            await self.until(lambda: self.relay.wait() is None and self.relay.under_way is None)
+            await until(lambda: self.relay.wait() is None and self.relay.under_way is None)
         self.assertEqual(self.script.held.tables, {0: {"s-1": 1.0, "s-2": 3.0}, 1: {"s-1": 1.0}, 2: {"s-1": 1.0}, 3: {"s-1": 1.0}})
         self.assertEqual(self.relay.unknown, 4)
 
@@ -580,29 +574,29 @@
     async def test_news_go_on_while_one_connection_breaks_and_the_relay_moves(self):
         told = Told()
         made = self.linked(told)
-        await self.until(lambda: len(self.script.news) == 2 and len(told.said) == 4)
+        await until(lambda: len(self.script.news) == 2 and len(told.said) == 4)
         self.script.news[0].close()
-        await self.until(lambda: len(self.script.news) == 3)
+        await until(lambda: len(self.script.news) == 3)
         elsewhere = Script()
         made.move(elsewhere.listen_somewhere())
-        await self.until(lambda: len(elsewhere.news) == 2)
+        await until(lambda: len(elsewhere.news) == 2)
         await dialling.sleep(0.1)
         for stream in self.script.lines:
             stream.close()
         elsewhere.held.joined.discard(2)
         for stream in elsewhere.news:
             await Script.say(stream, "bye", {"proxy": 2})
-        await self.until(lambda: ("left", 2) in told.said)
+        await until(lambda: ("left", 2) in told.said)
         self.assertEqual(told.said, [("joined", 0), ("joined", 1), ("joined", 2), ("joined", 3), ("left", 2)])
 
     @gen_test(timeout=30)
     async def test_spoilt_answers_to_marks_are_passed_over_alone(self):
         told = Told()
         self.linked(told)
-        await self.until(lambda: len(self.script.news) == 2)
+        await until(lambda: len(self.script.news) == 2)
         for params in ({}, dict(ACK, mark="x"), dict(ACK, took_ms=-1), dict(ACK, proxy=999), ACK):
             await Script.say(self.script.news[0], "ack", params)
-        await self.until(lambda: told.applications)
+        await until(lambda: told.applications)
         self.assertEqual(told.applications, [(17, 905, 310_400)])
 
     @gen_test(timeout=30)
@@ -615,7 +609,7 @@
                 raise KeyError("what any fault looks like")
         told.proxy_joined = joined
         made = self.linked(told)
-        await self.until(lambda: {0, 1, 2, 3} <= set(told.said) and len(made.news.views) == 2)
+        await until(lambda: {0, 1, 2, 3} <= set(told.said) and len(made.news.views) == 2)
         self.assertIn("begins anew", "".join(self.noted))
 
     def opened(self, desk):
@@ -634,7 +628,7 @@
         made, place = self.opened(told)
         collector = await dialling.dial(place, SECOND)
         await collector.write(b'{"type":"agent","zone":"a"}\n')
-        await self.until(lambda: made.collectors[0])
+        await until(lambda: made.collectors[0])
         for said in (b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", b"\xff\xfe\n", b'{"type":"agent","zone":"nowhere"}\n', b"[" * 3000 + b"\n",
                      codec.pack(OUTCOMES) + b"\n", codec.pack(dict(HELLO, type="hello")) + b"\n", b"x" * 100_000,
                      b'{"type":"commit","params":{"ops":[]}}\n', b'{"type":"agent"', b""):
@@ -647,7 +641,7 @@
             self.assertIn(answer[:15], (b"", b'{"type":"error"'), said[:30])
         await collector.write(codec.pack(dict(OUTCOMES, tries=True)) + b"\n" + b'{"type":"outcomes"}\n' + codec.pack(DEMAND) + b"\n"
                               + codec.pack(OUTCOMES) + b"\n")
-        await self.until(lambda: len(told.reports) == 2)
+        await until(lambda: len(told.reports) == 2)
         self.assertEqual(made.passed_over, 2)
         self.assertFalse(made.strangers)
         # What goes on with what can't be read is of no further use, and nothing is written to it.
@@ -671,8 +665,8 @@
         self.assertEqual(await dialling.next_line(asker, 5 * SECOND), codec.ALIVE)
         collector = await dialling.dial(place, SECOND)
         await collector.write(b'{"type":"agent","zone":"b"}\n' + codec.pack(DEMAND) + b"\n")
-        await self.until(lambda: told.reports)
-        await self.until(lambda: not made.strangers)
+        await until(lambda: told.reports)
+        await until(lambda: not made.strangers)
         for stream in crowd:
             stream.close()
 
@@ -740,7 +734,7 @@
             program = subprocess.Popen([sys.executable, "-m", "indigodeck", "edge"], env=dict(os.environ, EDGE_CONFIG=str(path)),
                                        stderr=subprocess.PIPE)
             try:
-                await self.until(lambda: relays[0].held.bound)
+                await until(lambda: relays[0].held.bound, 20)
                 stream = await dialling.dial(("127.0.0.1", port), SECOND)
                 await stream.write(b'{"type":"probe"}\n')
                 self.assertEqual(await dialling.next_line(stream, 5 * SECOND), codec.ALIVE)
@@ -750,10 +744,10 @@
                 await dialling.sleep(0.3)
                 configure(1)
                 program.send_signal(signal.SIGHUP)
-                await self.until(lambda: len(relays[1].news) == 2 and lists[1][0].asked)
+                await until(lambda: len(relays[1].news) == 2 and lists[1][0].asked, 20)
                 self.assertIsNone(program.poll())
                 program.send_signal(signal.SIGTERM)
-                await self.until(lambda: program.poll() is not None)
+                await until(lambda: program.poll() is not None, 20)
                 self.assertEqual(program.returncode, 0)
                 self.assertIn(b"the configuration stays as it was", program.stderr.read())
             finally:
@@ -761,12 +755,6 @@
                 program.wait()
                 program.stderr.close()
 
-    async def until(self, true, seconds=20):
-        end = time.monotonic() + seconds
-        while not true():
-            self.assertLess(time.monotonic(), end)
-            await dialling.sleep(0.02)
-
     def test_a_configuration_that_cant_be_used_is_told(self):
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "config.json"
