--- a/indigodeck/edge/desk.py
+++ b/indigodeck/edge/desk.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from ..choice import Assigner
-from ..host import CACHED, CHANGES, WHOLE, Server
+from ..host import CACHED, CHANGES, GONE, WHOLE, Server
 
 MARKS_MOST = 256
 AGAIN = 50_000          # between two looks whether the relay has caught up
@@ -23,8 +23,8 @@
     def wanted(self) -> None:
         """Orders wait for the relay."""
 
-    def probe(self, server: int, dial: tuple) -> None:
-        """Answer with the desk's `probed`."""
+    def probe(self, asked: tuple, dial: tuple) -> None:
+        """Answer with the desk's `probed`, given `asked` back."""
 
     def tell(self, peer: int | None, data: bytes) -> None: ...
 
@@ -62,7 +62,8 @@
 
     def listed(self, catalog, cached=False):
         """A list as the codec read it (`Catalog`)."""
-        servers = [self._server(entry) for entry in catalog.entries]
+        # Gone before it was ever known: nothing names it, so nothing would ever forget it.
+        servers = [self._server(entry) for entry in catalog.entries if entry.state != GONE or entry.name in self.index_of]
         if catalog.whole:
             # An entry that can't be read says nothing against the server it names.
             servers += [self.servers[self.index_of[name]][1] for name in sorted(catalog.spoilt & self.index_of.keys())]
@@ -104,8 +105,10 @@
         else:
             self.passed_over += 1
 
-    def probed(self, server, outcome, took, load):
-        if server in self.servers:
+    def probed(self, asked, outcome, took, load):
+        """`asked`: as handed to `probe`. What an earlier process answered says nothing of the one there now."""
+        server, started = asked
+        if server in self.servers and self.servers[server][1].started == started:
             self._tell(self.assigner.probed, server, outcome, took, load)
 
     def told(self, peer, data):
@@ -154,7 +157,8 @@
         self.orders.append(self.words.fence(number, everyone))
 
     def probe(self, server):
-        self.outside.probe(server, self.servers[server][0].dial)
+        entry, known = self.servers[server]
+        self.outside.probe((server, known.started), entry.dial)
 
     def tell(self, peer, data):
         self.outside.tell(peer, data)
--- a/indigodeck/edge/dialling.py
+++ b/indigodeck/edge/dialling.py
@@ -3,7 +3,7 @@
 import traceback
 from datetime import timedelta
 
-from tornado.gen import sleep, with_timeout
+from tornado.gen import convert_yielded, sleep, with_timeout
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.util import TimeoutError as TooLate
 
@@ -19,8 +19,17 @@
 
 
 async def within(patience, awaitable):
-    """What is awaited, or TooLate after `patience` microseconds."""
-    return await with_timeout(timedelta(microseconds=patience), awaitable, quiet_exceptions=LOST)
+    """What is awaited, or TooLate after `patience` microseconds.
+
+    What came together with the time-out counts as come: after a stall of this program both are found at once, and the
+    other side has paid what it owed."""
+    awaited = convert_yielded(awaitable)
+    try:
+        return await with_timeout(timedelta(microseconds=patience), awaited, quiet_exceptions=LOST)
+    except TooLate:
+        if awaited.done():
+            return awaited.result()
+        raise
 
 
 async def dial(place, patience):
--- a/indigodeck/edge/discovery.py
+++ b/indigodeck/edge/discovery.py
@@ -1,6 +1,7 @@
 """The list of servers, watched at discovery's address.
 
 Watches are short: a connection that falls silent is found out soon, and the agent they are asked of answers at no cost.
+A list that turns the picture back, or leaves nothing of it, is asked for again before it is believed.
 """
 from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.ioloop import IOLoop
@@ -14,14 +15,16 @@
 WAIT = SECOND               # of one watch; changes are told within it
 LATE = SECOND               # above that, and for a whole list
 LARGEST = 8 << 20
+DOUBTS = 3                  # times in a row that a doubtful list is asked for again
 
 
 class Discovery:
     """`listed(catalog)` is called for each answer; `words`: the codec's."""
 
-    def __init__(self, place, words, listed, note, chance):
-        self.place, self.words, self.listed, self.note = place, words, listed, note
-        self.pauses, self.version, self.turn = Pauses(chance), None, 0
+    def __init__(self, place, words, listed, note, chance, filled=False):
+        self.place, self.words, self.listed, self.note, self.filled = place, words, listed, note, filled
+        self.pauses, self.turn = Pauses(chance), 0
+        self.version, self.newest, self.doubts = None, None, 0      # version: what the next watch goes on from
         self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=4, max_body_size=LARGEST)
 
     def start(self):
@@ -53,12 +56,35 @@
                     await self.pauses.rest()
                 continue
             if turn != self.turn:
+                # Written to this planner before it moved, so it counts as told. What the new address has said may be newer.
+                if self.newest is None or catalog.version > self.newest:
+                    self._take(catalog)
                 return
             self.pauses.over()
-            if asked is not None and catalog.version < asked and not catalog.whole:
-                self.version = None         # it began anew: what changed since is not to be had from it
+            if self._doubtful(catalog):
+                self.version = None
+                await self.pauses.rest()
                 continue
             if self.version == asked:       # else the whole list was asked for meanwhile
                 self.version = catalog.version
-            if catalog.whole or catalog.entries:
-                self.listed(catalog)
+            self._take(catalog)
+
+    def _doubtful(self, catalog):
+        """An older list may come from one that lags, and an empty one from one that has only begun: to believe either would
+        let back what drains, or take every server away. One that says so again and again has begun anew."""
+        older = self.newest is not None and catalog.version < self.newest
+        emptied = catalog.whole and self.filled and not (catalog.entries or catalog.spoilt)
+        if not (older or emptied):
+            self.doubts = 0
+            return False
+        if catalog.whole:
+            self.doubts += 1
+            self.note(f"a list in doubt: version {catalog.version}, {len(catalog.entries)} servers")
+        return not catalog.whole or self.doubts <= DOUBTS
+
+    def _take(self, catalog):
+        self.newest, self.doubts = catalog.version, 0
+        if catalog.whole:
+            self.filled = bool(catalog.entries or catalog.spoilt)
+        if catalog.whole or catalog.entries:
+            self.listed(catalog)
--- a/indigodeck/edge/link.py
+++ b/indigodeck/edge/link.py
@@ -19,7 +19,7 @@
 
     def __init__(self, relay, place, now, note, chance):
         self.relay, self.place, self.now, self.note = relay, place, now, note
-        self.pauses, self.wanted = Pauses(chance), Event()
+        self.pauses, self.wanted, self.idle = Pauses(chance), Event(), Event()
         self.stream = self.dialled = None
         self.used_at = 0
 
@@ -29,6 +29,7 @@
             wait = self.relay.wait()
             if wait is None:
                 self.wanted.clear()
+                self.idle.set()
                 await self.wanted.wait()
             elif wait:
                 await sleep(wait / SECOND)
@@ -51,6 +52,7 @@
             self.relay.lost()
             stream.close()
             self.note(f"a call's answer is lost: {error!r}")
+            await self.pauses.rest()        # what can't pass now would be written again as fast as this program can
 
     async def _connected(self):
         stale = self.dialled != self.place or self.now() - self.used_at > IDLE
@@ -64,26 +66,29 @@
 
 
 class Listener:
-    """One connection for news at one address, dialled again until it is retired."""
+    """One connection for news at one address, dialled again until it is retired. `whole()` is called with each sign of life."""
 
-    def __init__(self, news, desk, words, place, note, chance):
-        self.news, self.desk, self.words, self.place, self.note = news, desk, words, place, note
-        self.pauses, self.retired = Pauses(chance), False
+    def __init__(self, news, desk, words, place, whole, note, chance):
+        self.news, self.desk, self.words, self.place, self.whole, self.note = news, desk, words, place, whole, note
+        self.pauses, self.retired, self.stream = Pauses(chance), False, None
 
     async def run(self):
         while not self.retired:
-            stream = None
             try:
-                stream = await dial(self.place, CONNECT)
-                await within(CONNECT, stream.write(codec.call(0, "subscribe")))
-                await self._follow(stream)
+                self.stream = await dial(self.place, CONNECT)
+                await within(CONNECT, self.stream.write(codec.call(0, "subscribe")))
+                await self._follow(self.stream)
             except (*LOST, Malformed) as error:
                 self.note(f"news from {self.place[0]}:{self.place[1]} break off: {error!r}")
             finally:
-                if stream is not None:
-                    stream.close()
+                self.close()
                 self.news.closed(self)
-            await self.pauses.rest()
+            if not self.retired:
+                await self.pauses.rest()
+
+    def close(self):
+        if self.stream is not None:
+            self.stream.close()
 
     async def _follow(self, stream):
         begun = False
@@ -101,6 +106,7 @@
         try:
             if kind == "ping":
                 self.news.alive(self)
+                self.whole()
             elif kind == "hello":
                 self.news.hello(self, *self.words.hello(given))
             elif kind == "bye":
@@ -116,7 +122,7 @@
 
     def __init__(self, relay, news, desk, words, now, note, chance):
         self.relay, self.news, self.desk, self.words, self.note = relay, news, desk, words, note
-        self.chance, self.listeners = chance, []
+        self.chance, self.listeners, self.former = chance, [], []
         self.calls = Calls(relay, None, now, note, chance)
 
     def start(self, place):
@@ -130,10 +136,20 @@
         self.calls.place = place
         for listener in self.listeners:
             listener.retired = True
-        self.listeners = [Listener(self.news, self.desk, self.words, place, self.note, self.chance)
+        self.former += self.listeners
+        self.listeners = [Listener(self.news, self.desk, self.words, place, self._bridged, self.note, self.chance)
                           for _ in range(LISTENERS)]
         for listener in self.listeners:
             IOLoop.current().add_callback(for_good, listener.run, self.note)
 
+    def _bridged(self):
+        """What the former connections bridged is over. One that the relay leaves open, as after a move to and fro, would
+        stay for good, and the relay holds so many of a planner's, no more."""
+        if any(self.news.has_whole(listener) for listener in self.listeners):
+            for listener in self.former:
+                listener.close()
+            self.former = []
+
     def wanted(self):
+        self.calls.idle.clear()
         self.calls.wanted.set()
--- a/indigodeck/edge/news.py
+++ b/indigodeck/edge/news.py
@@ -33,6 +33,10 @@
             if not self._others(line):
                 self._leave(self.joined - view.joined.keys())
 
+    def has_whole(self, line):
+        """Whether a connection has told all that stood at its beginning."""
+        return line in self.views and self.views[line].whole
+
     def _others(self, line):
         return [view for other, view in self.views.items()
                 if other is not line and self.now() - view.heard_at < FRESH]
--- a/indigodeck/edge/probes.py
+++ b/indigodeck/edge/probes.py
@@ -27,17 +27,17 @@
 
 
 class Probes:
-    """`probed(server, outcome, took, load)` is called once for each; what is over the bounds was never answered."""
+    """`probed(asked, outcome, took, load)` is called once for each; what is over the bounds was never answered."""
 
     def __init__(self, words, now, probed):
         self.reach, self.now, self.probed = Reach(words), now, probed
         self.waiting, self.under_way = deque(), 0
 
-    def ask(self, server, dial):
+    def ask(self, asked, dial):
         if len(self.waiting) >= WAITING_MOST:
             late, _ = self.waiting.popleft()
             IOLoop.current().add_callback(self.probed, late, "silent", PATIENCE, None)
-        self.waiting.append((server, dial))
+        self.waiting.append((asked, dial))
         if self.under_way < AT_ONCE:
             self.under_way += 1
             IOLoop.current().add_callback(self._run)
@@ -45,12 +45,12 @@
     async def _run(self):
         try:
             while self.waiting:
-                server, dial = self.waiting.popleft()
+                asked, dial = self.waiting.popleft()
                 begun = self.now()
                 try:
                     outcome, load = await self.reach.exchange(dial, PATIENCE / SECOND)
                 except Exception:       # a probe that is never answered would be the server's last
                     outcome, load = "error", None
-                self.probed(server, outcome, self.now() - begun, load)
+                self.probed(asked, outcome, self.now() - begun, load)
         finally:
             self.under_way -= 1
--- a/indigodeck/edge/service.py
+++ b/indigodeck/edge/service.py
@@ -14,6 +14,7 @@
 from ..clock import now
 from .berth import Berth
 from .desk import Desk
+from .dialling import TooLate, within
 from .discovery import Discovery
 from .door import Door
 from .link import Link
@@ -23,6 +24,7 @@
 from .relay import Relay
 
 SECOND = 1_000_000
+LAST = SECOND // 2      # for orders that wait when the program is told to end; who does not end is killed after 0.7 s
 LINES_MOST = 200        # of the log within ten seconds
 TRACE = "INDIGODECK_TRACE"      # set: all that the assigner is told and orders is written out, without a bound
 
@@ -58,7 +60,7 @@
         self.desk = Desk(self, words, self.relay, berth.charter, berth.seed)
         self.news = News(self.desk, self.now)
         self.door = Door(self.desk, words, self.now, berth.sockets)
-        self.discovery = Discovery(berth.discovery, words, self.desk.listed, self.note, chance)
+        self.discovery = Discovery(berth.discovery, words, self.desk.listed, self.note, chance, bool(berth.known))
         self.link = Link(self.relay, self.news, self.desk, words, self.now, self.note, chance)
         self.peers = Peers(berth, self.desk.told, self.note) if berth.peer_listen else None
 
@@ -73,8 +75,8 @@
     def wanted(self):
         self.link.wanted()
 
-    def probe(self, server, dial):
-        self.probes.ask(server, dial)
+    def probe(self, asked, dial):
+        self.probes.ask(asked, dial)
 
     def tell(self, peer, data):
         if self.peers is not None:
@@ -106,24 +108,41 @@
             berth = Berth(self.berth.path)
         except Exception as error:      # whatever is wrong with a file, it must not end a planner that serves
             return self.note(f"the configuration stays as it was: {error}")
+        if (berth.name, berth.listen) != (self.berth.name, self.berth.listen):
+            return self.note(f"the configuration stays as it was: the new one is that of {berth.name}")
+        if berth.charter != self.berth.charter:
+            self.note("the settings stay as they were at the start: tables made by others would not go with them")
         self.note(f"discovery at {berth.discovery}, the relay at {berth.registry}")
         self.discovery.move(berth.discovery)
         self.link.move(berth.registry)
 
+    async def end(self):
+        """Orders that wait are owed to proxies: those keep their tables, and a drain in them, until they join elsewhere."""
+        try:
+            await within(LAST, self.link.calls.idle.wait())
+        except TooLate:
+            self.note("orders are left that the relay did not take in time")
+
 
-async def serve(berth):
+async def serve(berth, early):
+    """`early`: whether a new configuration was announced before anything could look at it."""
     loop, ended = asyncio.get_running_loop(), asyncio.Event()
     service = Service(berth)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     loop.add_signal_handler(signal.SIGHUP, service.reload)
     service.start()
+    if early:
+        service.reload()
     await ended.wait()
     service.note("told to end")
+    await service.end()
 
 
 def main():
     """Exit codes: 0 told to end, 2 the configuration can't be used."""
+    early = []
+    signal.signal(signal.SIGHUP, lambda *_: early.append(True))     # its default would end the program
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(logging.Formatter("%(asctime)s.%(msecs)03d %(name)s %(message)s", "%H:%M:%S"))
     handler.addFilter(Bounded())
@@ -133,5 +152,5 @@
     except (Malformed, OSError) as error:
         print(f"indigodeck edge: {error}", file=sys.stderr)
         return 2
-    asyncio.run(serve(berth))
+    asyncio.run(serve(berth, early))
     return 0
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -411,8 +411,8 @@
     def wanted(self):
         pass
 
-    def probe(self, server, dial):
-        self.note(f"probe {server} at {dial}")
+    def probe(self, asked, dial):
+        self.note(f"probe {asked[0]} at {dial}")
 
     def tell(self, peer, data):
         self.note(f"tell {peer}")
