--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -139,8 +139,8 @@
     def proxy_joined(self, proxy, zone, rate, fresh):
         demand = self.proxies[proxy].demand if proxy in self.proxies else {}
         # The same group at every planner; not by remainder, for numbers may go with zones.
-        seat = zone, Chance(proxy).below(self.parts)
-        self.proxies[proxy] = Proxy(seat, rate if 0 < rate < 1e9 else 1.0, demand)
+        group, rate = Chance(proxy).below(self.parts), rate if 0 < rate < 1e9 else 1.0
+        self.proxies[proxy] = Proxy((zone, group), rate, demand)
         if not self.joining:
             self.host.wake(1, 2)        # with all that join at this moment: draws go by their demand
         self.joining.append(proxy)
@@ -204,8 +204,7 @@
                 self.withdrawn.remove(server)
                 del self.health[server]
                 self.host.forget(server)
-        due = self.reviewed_at + self.charter["report_period"] // 2
-        if self.tables and self.heard_at > self.reviewed_at and now >= due:
+        if self.tables and self.heard_at > self.reviewed_at <= now - self.charter["report_period"] // 2:
             self._review()
         for index, health in self.health.items():
             asked = index in self.fleet and now >= health.until and (health.barred or health.doubted)
@@ -259,8 +258,7 @@
     # Shards.
 
     def _pool(self, table):
-        ready = self._ready(table.zone if table.bound else None)
-        full = self._full()
+        ready, full = self._ready(table.zone if table.bound else None), self._full()
         fit = {index: server for index, server in ready.items() if not self.health[index].out and (
             full or table.place not in self.health[index].barred)}
         # With most barred, doubtful servers beat too few: those left would be next.
@@ -281,30 +279,26 @@
         enough = len(spared) >= LEAST_SERVERS and 2 * weigh(spared.values()) >= weigh(pool.values())
         return spared if enough else pool
 
-    def _sides(self, table, pool, rates, mean, whole):
+    def _sides(self, table, halves, rates, asked, mean, whole):
         """What a shard holds of near servers, and of others above what near ones do at the mean."""
-        near = table.near(pool)
-        need, part = weigh((near if table.bound else pool).values()), 1.0
+        (near, close), (far, distant) = halves
+        need, part = close if table.bound else close + distant, 1.0
         if not self._full() or self.parts > 1:
-            wide = sum(rates[other.number] for other in self.tables if other.place == table.place)
-            share = self.shares[table.place] * rates[table.number] / max(1e-9, wide)
+            share = self.shares[table.place] * rates[table.number] / max(1e-9, asked[table.place])
             # Larger shards are evener; where proxies can't step away, groups keep a failure from one another.
             target = TARGET_APART if self.apart and not self.charter["strikes"] else TARGET
             need = min(need, target * share * (whole if table.zone is not None else need))
         if not (table.bound or table.zone is None):
-            asked = {bound: sum(self._rate(other, rates) for other in self.tables if other.zone == table.zone
-                                and other.bound == bound) for bound in (False, True)}
-            part = (mean * weigh(near.values()) - asked[True]) / max(1e-9, asked[False])
+            part = (mean * close - asked[table.zone, True]) / max(1e-9, asked[table.zone, False])
             part = round(max(0.0, min(1.0, part)) * 8) / 8      # in steps, for demand is never steady
-        far = {index: server for index, server in pool.items() if index not in near}
-        return (near, need * part), (far, need * (1 - part))
+        return (near, close, need * part), (far, distant, need * (1 - part))
 
     def _fill(self, table, shard, sides, loads, chance, slack):
         """Adds servers drawn at random, the least loaded of a few, until each side holds what it should."""
-        for side, need in sides:
-            left = sorted((side[index] for index in side.keys() - set(shard)), key=lambda s: s.raw)
-            weight = weigh(side[m] for m in shard if m in side)
-            half = slack * weigh(side.values()) / max(1, len(side))
+        for side, all_of_it, need in sides:
+            weight, half = weigh(side[m] for m in shard if m in side), slack * all_of_it / max(1, len(side))
+            lacks = weight < need - half or len(shard) < LEAST_SERVERS
+            left = sorted((side[i] for i in side.keys() - set(shard)), key=lambda s: s.raw) if lacks else []
             while left and (weight < need - half or len(shard) < LEAST_SERVERS):
                 draw = chance or Chance(seed_from(table.name, [server.raw for server in left]))
                 some = (left[draw.below(len(left))] for _ in range(PICKS))
@@ -317,10 +311,10 @@
     def _draw(self, table, pool, sides, loads):
         """A shard drawn at random, capped in its overlap with others."""
         best, chance = None, Chance(seed_from(table.name, sorted(server.raw for server in pool.values())))
+        others = [set(other.members) for other in self.tables if other is not table]
         for _ in range(DRAWS):
             shard = self._fill(table, [], sides, loads, chance, 0.5)
-            overlap = max((len(set(shard) & set(other.members)) / len(shard) for other in self.tables
-                           if other is not table and other.members), default=0)
+            overlap = max((len(other.intersection(shard)) for other in others), default=0) / len(shard)
             best = min(best or (2.0,), (overlap, max(loads[i] / pool[i].weight for i in shard), shard))
             if overlap <= OVERLAP_MOST:
                 break
@@ -333,12 +327,15 @@
 
     def _shards(self, rates):
         now, whole = self.host.now(), weigh(self._ready().values())
-        loads, bound = defaultdict(float), defaultdict(float)
+        # Sums and halves serve all tables: with hundreds of these a turn would outlast the time to the next.
+        (loads, bound, asked), pools, halves = (defaultdict(float) for _ in range(3)), {}, {}
         for table in self.tables:
             self._plan(table, rates, loads)
             if table.bound:
                 self._plan(table, rates, bound)
-        mean, pools = sum(self._rate(table, rates) for table in self.tables) / max(1e-9, whole), {}
+            asked[table.place] += rates[table.number]
+            asked[table.zone, table.bound] += self._rate(table, rates)
+        mean = sum(self._rate(table, rates) for table in self.tables) / max(1e-9, whole)
         for table in self.tables:
             same = table.place, table.bound and table.zone
             pool = pools[same] = pools.get(same) or self._pool(table)
@@ -347,24 +344,25 @@
                 continue
             self._plan(table, rates, loads, -1)
             pool = pool if table.zone is not None else self._spared(table, pool, bound, mean)
-            sides = self._sides(table, pool, rates, mean, whole)
+            key = table if table.zone is None else (same, table.zone)
+            halves[key] = halves.get(key) or table.halves(pool)
+            sides = self._sides(table, halves[key], rates, asked, mean, whole)
             if not table.drawn:
                 table.members, table.drawn = self._draw(table, pool, sides, loads), True
             table.members = [member for member in table.members if member in pool]
             self._fill(table, table.members, sides, loads, None, 0.5)
-            for side, need in sides if now - table.resized_at > RESIZE_EVERY // 4 else ():
+            for side, all_of_it, need in sides if now - table.resized_at > RESIZE_EVERY // 4 else ():
                 members = [m for m in table.members if m in side]
                 hot = max(members, key=lambda m: (loads[m] / pool[m].weight, pool[m].raw), default=None)
-                over = weigh(side[m] for m in members) - (weigh(side.values()) / len(side) / 2 if need else 0)
+                over = weigh(side[m] for m in members) - (all_of_it / len(side) / 2 if need else 0)
                 if len(table.members) > LEAST_SERVERS and members and (not need or loads[hot] > 1e-6) and (
                         over - pool[hot].weight > need - 1e-9):
                     table.members.remove(hot)
                     table.resized_at = now
             self._plan(table, rates, loads)
         covered = set().union(*(table.members for table in self.tables))
-        for server in sorted(self._ready().values(), key=lambda server: server.raw):
-            open_to = [table for table in self.tables if server.index not in covered
-                       and server.index in pools[table.place, table.bound and table.zone]]
+        for server in sorted((s for i, s in self._ready().items() if i not in covered), key=lambda s: s.raw):
+            open_to = [t for t in self.tables if server.index in pools[t.place, t.bound and t.zone]]
             if open_to:
                 max(open_to, key=lambda table: (
                     table.zone in (None, server.zone), self._rate(table, rates) / max(1e-9, weigh(
@@ -393,31 +391,30 @@
         grown = (1 - share) / cold_time
         budgets = {index: server.weight * pace * (share + grown * max(0, now - server.started))
                    for index, server in ready.items() if server.started and now - server.started < cold_time}
+        ramps = {index: server.weight * self._ramp(server) for index, server in ready.items()}
         for table in self.tables:
             # Beside few warm ones, or while less is let in, a cold server waits: were those lost or left, it
             # would be sent all they had before a report tells. Proxies step away where many tries are lost.
             warm = [m for m in table.members if m not in budgets or now - ready[m].started > cold_time // 2]
             few = warm and (len(warm) < LEAST_SERVERS or self.valves[None].open < 1 or (
                 self.charter["strikes"] and self.valves[None].lost > LOST))
-            members = [self.fleet[m] for m in (warm if few else table.members)]
-            table.want = {server.index: server.weight * self._ramp(server) for server in members}
+            table.want = {m: ramps[m] for m in (warm if few else table.members)}
         # Ramps are relative: so load on each cold server is bounded too, and levels keep out what is over.
+        cold = [table for table in self.tables if table.want.keys() & budgets.keys()]
         for last in [False] * 6 + [True]:
             loads = defaultdict(float)
-            for table in self.tables:
+            for table in cold:
                 weight, rate = sum(table.want.values()), self._rate(table, rates)
                 for member, part in table.want.items():
                     loads[member] += rate * part / weight
             over = {m: budget / loads[m] for m, budget in budgets.items() if loads[m] > budget * 1.02}
-            for table in self.tables:
-                if not last:
-                    table.want = {m: w * over.get(m, 1.0) for m, w in table.want.items()}
-                    continue
-                # Only proportions count: as near to the ramp as they allow, or lines would change for ever.
-                spare = max((w / (self.fleet[m].weight * self._ramp(self.fleet[m]))
-                             for m, w in table.want.items()), default=1.0)
-                table.want = {m: w / spare for m, w in table.want.items()}
-                table.guard = min([1.0] + [over[m] for m in table.want if over.get(m, 1.0) < 0.9])
+            for table in cold if over and not last else ():
+                table.want = {m: w * over.get(m, 1.0) for m, w in table.want.items()}
+        for table in self.tables:
+            # Only proportions count: as near to the ramp as they allow, or lines would change for ever.
+            spare = max((w / ramps[m] for m, w in table.want.items()), default=1.0)
+            table.want = {m: w / spare for m, w in table.want.items()}
+            table.guard = min([1.0] + [over[m] for m in table.want if over.get(m, 1.0) < 0.9])
 
     # Health and levels.
 
--- a/indigodeck/edge/dialling.py
+++ b/indigodeck/edge/dialling.py
@@ -5,6 +5,7 @@
 
 from tornado.gen import convert_yielded, sleep, with_timeout
 from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import Resolver
 from tornado.util import TimeoutError as TooLate
 
 from .codec import LINE_MOST
@@ -14,10 +15,18 @@
 LOST = (OSError, StreamClosedError, TooLate)
 
 
-def family(place):
+def family_of(place):
     return socket.AF_INET6 if ":" in place[0] else socket.AF_INET
 
 
+class Numbers(Resolver):
+    """Addresses are numbers here; to look them up would cost a thread for each connection."""
+
+    async def resolve(self, host, port, family=socket.AF_UNSPEC):
+        place = host.strip("[]"), port
+        return [(family_of(place), place)]
+
+
 async def within(patience, awaitable):
     """What is awaited, or TooLate after `patience` microseconds.
 
@@ -34,7 +43,7 @@
 
 async def dial(place, patience):
     """A stream to (address, port), or one of `LOST`."""
-    stream = IOStream(socket.socket(family(place)), max_buffer_size=2 * LINE_MOST, max_write_buffer_size=LINE_MOST)
+    stream = IOStream(socket.socket(family_of(place)), max_buffer_size=2 * LINE_MOST, max_write_buffer_size=LINE_MOST)
     try:
         await within(patience, stream.connect(place))
         stream.set_nodelay(True)
--- a/indigodeck/edge/discovery.py
+++ b/indigodeck/edge/discovery.py
@@ -9,7 +9,7 @@
 
 from ..planner.reach import authority
 from .codec import Malformed, read_object
-from .dialling import LOST, SECOND, Pauses, for_good
+from .dialling import LOST, SECOND, Numbers, Pauses, for_good
 
 PATH = "/catalog/members"
 WAIT = SECOND               # of one watch; changes are told within it
@@ -25,7 +25,7 @@
         self.place, self.words, self.listed, self.note, self.filled = place, words, listed, note, filled
         self.pauses, self.turn = Pauses(chance), 0
         self.version, self.newest, self.doubts = None, None, 0      # version: what the next watch goes on from
-        self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=4, max_body_size=LARGEST)
+        self.client = SimpleAsyncHTTPClient(force_instance=True, max_clients=4, max_body_size=LARGEST, resolver=Numbers())
 
     def start(self):
         self.turn += 1
@@ -48,7 +48,7 @@
             patience = (LATE if asked is None else WAIT + LATE) / SECOND
             try:
                 answer = await self.client.fetch(HTTPRequest(
-                    f"http://{authority(self.place)}{PATH}{query}", connect_timeout=LATE / SECOND / 2, request_timeout=patience))
+                    f"http://{authority(self.place)}{PATH}{query}", connect_timeout=LATE / SECOND, request_timeout=patience))
                 catalog = self.words.catalog(read_object(answer.body))
             except (*LOST, HTTPClientError, Malformed) as error:
                 if turn == self.turn:
--- a/indigodeck/edge/peers.py
+++ b/indigodeck/edge/peers.py
@@ -3,7 +3,7 @@
 
 from tornado.ioloop import IOLoop
 
-from .dialling import family
+from .dialling import family_of
 
 LONGEST = 256           # a longer one would end the run
 AT_ONCE = 64            # datagrams read in a row, so that a flood gives way to the rest
@@ -15,7 +15,7 @@
     def __init__(self, berth, told, note):
         self.peers, self.everyone, self.told, self.note = berth.peers, berth.peers_all, told, note
         self.numbers = {place: number for number, place in enumerate(berth.peers)}
-        self.socket = socket.socket(family(berth.peer_listen), socket.SOCK_DGRAM)
+        self.socket = socket.socket(family_of(berth.peer_listen), socket.SOCK_DGRAM)
         self.socket.setblocking(False)
         self.socket.bind(berth.peer_listen)
         IOLoop.current().add_handler(self.socket, self._read, IOLoop.READ)
--- a/indigodeck/records.py
+++ b/indigodeck/records.py
@@ -29,6 +29,11 @@
         """Of these servers, those in the zone of the table's proxies."""
         return {index: server for index, server in servers.items() if self.zone in (None, server.zone)}
 
+    def halves(self, pool):
+        """Near servers and the others, each with the weight of all."""
+        near = self.near(pool)
+        return [(half, weigh(half.values())) for half in (near, {i: pool[i] for i in pool if i not in near})]
+
 
 class Proxy:
     """`seat`: its zone and group; `rate`: what it says it usually gets."""
@@ -99,9 +104,8 @@
 
     def __init__(self, started=0, judge_from=0, spell=0):
         self.started, self.falls, self.judge_from, self.spell = started, 0, judge_from, spell
-        self.reports, self.strikes = defaultdict(lambda: deque(maxlen=4)), 0
+        self.reports, self.strikes, self.until, self.trial = defaultdict(lambda: deque(maxlen=4)), 0, 0, 0
         self.barred, self.out, self.doubted, self.probing = frozenset(), False, False, False
-        self.until = self.trial = 0
 
     def since(self, moment):
         """Reports that came later and can reflect the last order, with the zone of their proxies."""
