Standard names in edge/: bootstrap, listener, membership, relay_client, outbox

berth, door, news, link and relay said less than the field's own words: what a node is told at its start is its bootstrap, what accepts connections a listener, who is joined the membership, orders kept until they are surely taken an outbox. Subscription is one connection for the relay's news.

--- a/benchmarks/full_size.py
+++ b/benchmarks/full_size.py
@@ -66,7 +66,7 @@
     def __init__(self, proxies, servers, planners):
         charter = charter_of(settings(proxies, planners))
         self.words, self.outside, self.own = Words(charter), Outside(), range(0, proxies, planners)
-        self.relay = Relay(self.outside.now, self.outside.note)
+        self.relay = Outbox(self.outside.now, self.outside.note)
         self.desk = Desk(self.outside, self.words, self.relay, charter, 7)
         self.servers, self.next, self.version = {}, 0, 0
         for _ in range(servers):
--- a/indigodeck/edge/berth.py
+++ b/indigodeck/edge/bootstrap.py
@@ -11,7 +11,7 @@
 SOCKETS_LEAST = 64
 
 
-class Berth:
+class Bootstrap:
     """A configuration file. Raises Malformed, or OSError where there is none to read.
 
     `listen`, `discovery`, `registry`: (address, port); `peers`: such pairs in the order of the planners' numbers."""
--- a/indigodeck/edge/desk.py
+++ b/indigodeck/edge/desk.py
@@ -38,10 +38,10 @@
 
 
 class Desk:
-    """`words`: the codec's, for the same charter; `relay`: takes the orders."""
+    """`words`: the codec's, for the same charter; `outbox`: takes the orders."""
 
-    def __init__(self, outside, words, relay, charter, seed, make=Assigner):
-        self.outside, self.words, self.relay = outside, words, relay
+    def __init__(self, outside, words, outbox, charter, seed, make=Assigner):
+        self.outside, self.words, self.outbox = outside, words, outbox
         self.index_of, self.servers, self.count = {}, {}, 0      # {name: index}; {index: (entry, Server)}
         self.orders, self.marks, self.passed_over = [], {}, 0
         self.assigner = make(self, charter, seed)
@@ -57,7 +57,7 @@
         orders, self.orders = self.orders, []
         if orders:
             self.outside.trace("orders", orders)
-            self.relay.order(orders)
+            self.outbox.order(orders)
             self.outside.wanted()
 
     def listed(self, catalog, cached=False):
@@ -85,7 +85,7 @@
         self._tell(self.assigner.proxy_joined, proxy, zone, rate, fresh)
 
     def proxy_left(self, proxy):
-        self.relay.left(proxy)
+        self.outbox.left(proxy)
         self._tell(self.assigner.proxy_left, proxy)
 
     def heard(self, zone, name, tries, failed, took, span, load):
@@ -115,7 +115,7 @@
         self._tell(self.assigner.told, peer, data)
 
     def _woken(self, token):
-        if self.relay.behind():
+        if self.outbox.behind():
             # What can't be sent is not added to: the channel would be written it all at once afterwards.
             self.outside.later(AGAIN, lambda: self._woken(token))
         else:
--- a/indigodeck/edge/door.py
+++ b/indigodeck/edge/listener.py
@@ -17,16 +17,16 @@
 STRANGE_LINE = 4096             # an introduction is short
 SILENCE = 30 * SECOND           # a collector that says nothing has vanished, or has nothing to say: it may come back
 COLLECTORS_MOST = 8             # of one zone; the longest silent gives way
-OWN = 48                        # descriptors for everything but this door
+OWN = 48                        # descriptors for everything but this address
 LINES_AT_ONCE = 64              # of one connection, so that a flood gives way to the others
 BACKLOG = 1024
 
 
-class Caller:
+class Connection:
     """One connection; `zone` is None until it has introduced itself as a collector."""
 
-    def __init__(self, door, stream):
-        self.door, self.stream, self.zone, self.heard_at = door, stream, None, door.now()
+    def __init__(self, listener, stream):
+        self.listener, self.stream, self.zone, self.heard_at = listener, stream, None, listener.now()
 
     async def run(self):
         lines = 0
@@ -47,7 +47,7 @@
     async def _line(self):
         if self.zone is not None:
             return await next_line(self.stream, SILENCE)
-        left = max(0, self.heard_at + STRANGE - self.door.now())
+        left = max(0, self.heard_at + STRANGE - self.listener.now())
         return await within(left, self.stream.read_until(b"\n", max_bytes=STRANGE_LINE))
 
     def _refuse(self, why):
@@ -59,18 +59,18 @@
         kind = given.get("type")
         if kind == "probe" and self.zone is None:
             self.stream.write(codec.ALIVE)
-            self.heard_at = self.door.now()
+            self.heard_at = self.listener.now()
         elif kind == "agent" and self.zone is None:
-            self.zone = self.door.words.agent(given)
-            self.door.introduced(self)
+            self.zone = self.listener.words.agent(given)
+            self.listener.introduced(self)
         elif self.zone is None:
             raise Malformed("nothing that a planner is told before an introduction")
         else:
-            self.heard_at = self.door.now()
-            self.door.report(kind, given)
+            self.heard_at = self.listener.now()
+            self.listener.report(kind, given)
 
 
-class Door(TCPServer):
+class Listener(TCPServer):
     """`desk`: told of reports. `sockets`: descriptors that the whole planner may hold."""
 
     def __init__(self, desk, words, now, sockets):
@@ -84,23 +84,23 @@
         self.add_sockets(bind_sockets(place[1], place[0], backlog=BACKLOG))
 
     async def handle_stream(self, stream: IOStream, address):
-        caller = Caller(self, stream)
-        self.strangers[caller] = True
+        connection = Connection(self, stream)
+        self.strangers[connection] = True
         if len(self.strangers) > self.strangers_most:
             oldest = next(iter(self.strangers))
             del self.strangers[oldest]
             oldest.stream.close()
         try:
-            await caller.run()
+            await connection.run()
         finally:
-            self.strangers.pop(caller, None)
-            if caller.zone is not None and caller in self.collectors[caller.zone]:
-                self.collectors[caller.zone].remove(caller)
-
-    def introduced(self, caller):
-        self.strangers.pop(caller, None)
-        known = self.collectors[caller.zone]
-        known.append(caller)
+            self.strangers.pop(connection, None)
+            if connection.zone is not None and connection in self.collectors[connection.zone]:
+                self.collectors[connection.zone].remove(connection)
+
+    def introduced(self, connection):
+        self.strangers.pop(connection, None)
+        known = self.collectors[connection.zone]
+        known.append(connection)
         if len(known) > COLLECTORS_MOST:
             silent = min(known, key=lambda other: other.heard_at)
             known.remove(silent)
--- a/indigodeck/edge/news.py
+++ b/indigodeck/edge/membership.py
@@ -14,41 +14,41 @@
         self.joined, self.numbers, self.whole, self.heard_at = {}, {}, False, now
 
 
-class News:
+class Membership:
     """`desk`: its `proxy_joined(proxy, zone, rate, fresh)` and `proxy_left(proxy)` are called; `now()`: microseconds."""
 
     def __init__(self, desk, now):
         self.desk, self.now = desk, now
         self.views, self.numbers, self.joined = {}, {}, set()
 
-    def opened(self, line):
-        self.views[line] = View(self.now())
+    def opened(self, source):
+        self.views[source] = View(self.now())
 
-    def alive(self, line):
+    def alive(self, source):
         """A sign of life. With the first, what stood at the beginning has been told in full."""
-        view = self.views[line]
+        view = self.views[source]
         view.heard_at = self.now()
         if not view.whole:
             view.whole, view.numbers = True, {**self.numbers, **view.numbers}
-            if not self._others(line):
+            if not self._others(source):
                 self._leave(self.joined - view.joined.keys())
 
-    def has_whole(self, line):
+    def has_whole(self, source):
         """Whether a connection has told all that stood at its beginning."""
-        return line in self.views and self.views[line].whole
+        return source in self.views and self.views[source].whole
 
-    def _others(self, line):
+    def _others(self, source):
         return [view for other, view in self.views.items()
-                if other is not line and self.now() - view.heard_at < FRESH]
+                if other is not source and self.now() - view.heard_at < FRESH]
 
-    def hello(self, line, proxy, zone, rate, fresh):
-        view, known = self.views[line], self.numbers.get(proxy, 0)
+    def hello(self, source, proxy, zone, rate, fresh):
+        view, known = self.views[source], self.numbers.get(proxy, 0)
         view.heard_at = self.now()
         if view.whole or proxy in view.joined:
             number = view.numbers.get(proxy, 0) + 1
         else:
             # It stands at the beginning. The same joining as another connection speaks of, or one that was missed.
-            same = proxy in self.joined and any(proxy in other.joined for other in self._others(line))
+            same = proxy in self.joined and any(proxy in other.joined for other in self._others(source))
             number = known if same else known + 1
         view.numbers[proxy], view.joined[proxy] = number, (zone, rate, fresh)
         if number > known:
@@ -61,8 +61,8 @@
         self.joined.add(proxy)
         self.desk.proxy_joined(proxy, zone, rate, fresh)
 
-    def bye(self, line, proxy):
-        view = self.views[line]
+    def bye(self, source, proxy):
+        view = self.views[source]
         view.heard_at = self.now()
         if view.joined.pop(proxy, None) is not None and view.numbers.get(proxy) == self.numbers.get(proxy):
             self._leave({proxy})
@@ -72,10 +72,10 @@
             self.joined.discard(proxy)
             self.desk.proxy_left(proxy)
 
-    def closed(self, line):
+    def closed(self, source):
         """A connection is over. What it was ahead of the others is put right by these; without any, what it told stands
         until the next one begins."""
-        self.views.pop(line, None)
+        self.views.pop(source, None)
         whole = [view for view in self.views.values() if view.whole]
         if not whole:
             return
--- a/indigodeck/edge/relay.py
+++ b/indigodeck/edge/outbox.py
@@ -24,7 +24,7 @@
     return ("eject", order["server"]) if do in ("eject", "uneject") else (do, order.get("group"))
 
 
-class Relay:
+class Outbox:
     """`now()`: microseconds; `note(text)`: a line for the log."""
 
     def __init__(self, now, note):
--- a/indigodeck/edge/peers.py
+++ b/indigodeck/edge/peers.py
@@ -12,12 +12,12 @@
 class Peers:
     """`told(number, data)` is called for what comes from a planner of the tier."""
 
-    def __init__(self, berth, told, note):
-        self.peers, self.everyone, self.told, self.note = berth.peers, berth.peers_all, told, note
-        self.numbers = {place: number for number, place in enumerate(berth.peers)}
-        self.socket = socket.socket(family_of(berth.peer_listen), socket.SOCK_DGRAM)
+    def __init__(self, bootstrap, told, note):
+        self.peers, self.everyone, self.told, self.note = bootstrap.peers, bootstrap.peers_all, told, note
+        self.numbers = {place: number for number, place in enumerate(bootstrap.peers)}
+        self.socket = socket.socket(family_of(bootstrap.peer_listen), socket.SOCK_DGRAM)
         self.socket.setblocking(False)
-        self.socket.bind(berth.peer_listen)
+        self.socket.bind(bootstrap.peer_listen)
         IOLoop.current().add_handler(self.socket, self._read, IOLoop.READ)
 
     def _read(self, *_):
--- a/indigodeck/edge/link.py
+++ b/indigodeck/edge/relay_client.py
@@ -11,22 +11,22 @@
 ANSWER = SECOND // 5        # the relay answers within 50 ms or never; the rest is for this planner's own stalls
 IDLE = SECOND               # the relay closes idle connections, and what is sent into that moment is lost
 SILENCE = 3 * SECOND        # signs of life come every second
-LISTENERS = 2
+SUBSCRIPTIONS = 2
 
 
 class Calls:
-    """Sends what waits in `relay` (relay.py), one call at a time. `place`: (address, port), may change at any time."""
+    """Sends what waits in `outbox` (outbox.py), one call at a time. `place`: (address, port), may change at any time."""
 
-    def __init__(self, relay, place, now, note, chance):
-        self.relay, self.place, self.now, self.note = relay, place, now, note
+    def __init__(self, outbox, place, now, note, chance):
+        self.outbox, self.place, self.now, self.note = outbox, place, now, note
         self.pauses, self.wanted, self.idle = Pauses(chance), Event(), Event()
         self.stream = self.dialled = None
         self.used_at = 0
 
     async def run(self):
-        self.relay.lost()       # begun anew after a fault: nobody knows what became of a call
+        self.outbox.lost()       # begun anew after a fault: nobody knows what became of a call
         while True:
-            wait = self.relay.wait()
+            wait = self.outbox.wait()
             if wait is None:
                 self.wanted.clear()
                 self.idle.set()
@@ -44,12 +44,12 @@
             return await self.pauses.rest()
         try:
             # Made now, with what stands by now: much may have been ordered while the connection came up.
-            await within(ANSWER, stream.write(self.relay.call()))
-            self.relay.answered(await next_line(stream, ANSWER))
+            await within(ANSWER, stream.write(self.outbox.call()))
+            self.outbox.answered(await next_line(stream, ANSWER))
             self.pauses.over()
             self.used_at = self.now()
         except (*LOST, Malformed) as error:
-            self.relay.lost()
+            self.outbox.lost()
             stream.close()
             self.note(f"a call's answer is lost: {error!r}")
             await self.pauses.rest()        # what can't pass now would be written again as fast as this program can
@@ -65,11 +65,11 @@
         return self.stream
 
 
-class Listener:
+class Subscription:
     """One connection for news at one address, dialled again until it is retired. `whole()` is called with each sign of life."""
 
-    def __init__(self, news, desk, words, place, whole, note, chance):
-        self.news, self.desk, self.words, self.place, self.whole, self.note = news, desk, words, place, whole, note
+    def __init__(self, membership, desk, words, place, whole, note, chance):
+        self.membership, self.desk, self.words, self.place, self.whole, self.note = membership, desk, words, place, whole, note
         self.pauses, self.retired, self.stream = Pauses(chance), False, None
 
     async def run(self):
@@ -82,7 +82,7 @@
                 self.note(f"news from {self.place[0]}:{self.place[1]} break off: {error!r}")
             finally:
                 self.close()
-                self.news.closed(self)
+                self.membership.closed(self)
             if not self.retired:
                 await self.pauses.rest()
 
@@ -97,7 +97,7 @@
             kind, given = codec.notification(data)
             if not begun:
                 begun = True
-                self.news.opened(self)
+                self.membership.opened(self)
                 self.pauses.over()
             if kind is not None:
                 self._take(kind, given)
@@ -105,25 +105,25 @@
     def _take(self, kind, given):
         try:
             if kind == "ping":
-                self.news.alive(self)
+                self.membership.alive(self)
                 self.whole()
             elif kind == "hello":
-                self.news.hello(self, *self.words.hello(given))
+                self.membership.hello(self, *self.words.hello(given))
             elif kind == "bye":
-                self.news.bye(self, self.words.bye(given))
+                self.membership.bye(self, self.words.bye(given))
             elif kind == "ack":
                 self.desk.applied(*self.words.ack(given))
         except Malformed as error:
             self.note(f"{kind} passed over: {error}")
 
 
-class Link:
+class RelayClient:
     """All of the way to the relay, and its moves to other addresses."""
 
-    def __init__(self, relay, news, desk, words, now, note, chance):
-        self.relay, self.news, self.desk, self.words, self.note = relay, news, desk, words, note
-        self.chance, self.listeners, self.former = chance, [], []
-        self.calls = Calls(relay, None, now, note, chance)
+    def __init__(self, outbox, membership, desk, words, now, note, chance):
+        self.outbox, self.membership, self.desk, self.words, self.note = outbox, membership, desk, words, note
+        self.chance, self.subscriptions, self.former = chance, [], []
+        self.calls = Calls(outbox, None, now, note, chance)
 
     def start(self, place):
         IOLoop.current().add_callback(for_good, self.calls.run, self.note)
@@ -134,20 +134,20 @@
         if place == self.calls.place:
             return
         self.calls.place = place
-        for listener in self.listeners:
-            listener.retired = True
-        self.former += self.listeners
-        self.listeners = [Listener(self.news, self.desk, self.words, place, self._bridged, self.note, self.chance)
-                          for _ in range(LISTENERS)]
-        for listener in self.listeners:
-            IOLoop.current().add_callback(for_good, listener.run, self.note)
+        for subscription in self.subscriptions:
+            subscription.retired = True
+        self.former += self.subscriptions
+        self.subscriptions = [Subscription(self.membership, self.desk, self.words, place, self._bridged, self.note, self.chance)
+                          for _ in range(SUBSCRIPTIONS)]
+        for subscription in self.subscriptions:
+            IOLoop.current().add_callback(for_good, subscription.run, self.note)
 
     def _bridged(self):
         """What the former connections bridged is over. One that the relay leaves open, as after a move to and fro, would
         stay for good, and the relay holds so many of a planner's, no more."""
-        if any(self.news.has_whole(listener) for listener in self.listeners):
-            for listener in self.former:
-                listener.close()
+        if any(self.membership.has_whole(subscription) for subscription in self.subscriptions):
+            for subscription in self.former:
+                subscription.close()
             self.former = []
 
     def wanted(self):
--- a/indigodeck/edge/service.py
+++ b/indigodeck/edge/service.py
@@ -12,16 +12,16 @@
 from ..chance import Chance
 from ..charter import Malformed
 from ..clock import now
-from .berth import Berth
+from .bootstrap import Bootstrap
 from .desk import Desk
 from .dialling import TooLate, within
 from .discovery import Discovery
-from .door import Door
-from .link import Link
-from .news import News
+from .listener import Listener
+from .relay_client import RelayClient
+from .membership import Membership
 from .peers import Peers
 from .probes import Probes
-from .relay import Relay
+from .outbox import Outbox
 
 SECOND = 1_000_000
 LAST = SECOND // 2      # for orders that wait when the program is told to end; who does not end is killed after 0.7 s
@@ -47,22 +47,22 @@
 
 
 class Service:
-    """Everything that one planner runs. `berth`: what it is told at start."""
+    """Everything that one planner runs. `bootstrap`: what it is told at start."""
 
-    def __init__(self, berth):
-        self.berth, self.log = berth, logging.getLogger("indigodeck")
+    def __init__(self, bootstrap):
+        self.bootstrap, self.log = bootstrap, logging.getLogger("indigodeck")
         # Unix time as it was at the start, and grown steadily since: what the list says of starts is in Unix time.
         self.clock_gap = time.time_ns() // 1000 - now()
         self.traced = bool(os.environ.get(TRACE))
-        words, chance = berth.words, Chance(berth.seed)
+        words, chance = bootstrap.words, Chance(bootstrap.seed)
         self.probes = Probes(words, self.now, lambda *found: self.desk.probed(*found))
-        self.relay = Relay(self.now, self.note)
-        self.desk = Desk(self, words, self.relay, berth.charter, berth.seed)
-        self.news = News(self.desk, self.now)
-        self.door = Door(self.desk, words, self.now, berth.sockets)
-        self.discovery = Discovery(berth.discovery, words, self.desk.listed, self.note, chance, bool(berth.known))
-        self.link = Link(self.relay, self.news, self.desk, words, self.now, self.note, chance)
-        self.peers = Peers(berth, self.desk.told, self.note) if berth.peer_listen else None
+        self.outbox = Outbox(self.now, self.note)
+        self.desk = Desk(self, words, self.outbox, bootstrap.charter, bootstrap.seed)
+        self.membership = Membership(self.desk, self.now)
+        self.listener = Listener(self.desk, words, self.now, bootstrap.sockets)
+        self.discovery = Discovery(bootstrap.discovery, words, self.desk.listed, self.note, chance, bool(bootstrap.known))
+        self.relay = RelayClient(self.outbox, self.membership, self.desk, words, self.now, self.note, chance)
+        self.peers = Peers(bootstrap, self.desk.told, self.note) if bootstrap.peer_listen else None
 
     # What the desk may ask.
 
@@ -73,7 +73,7 @@
         IOLoop.current().call_later(after / SECOND, call)
 
     def wanted(self):
-        self.link.wanted()
+        self.relay.wanted()
 
     def probe(self, asked, dial):
         self.probes.ask(asked, dial)
@@ -95,39 +95,39 @@
     # Its life.
 
     def start(self):
-        if self.berth.known is not None:
-            self.desk.listed(self.berth.known._replace(whole=True), cached=True)
-        self.door.open(self.berth.listen)
+        if self.bootstrap.known is not None:
+            self.desk.listed(self.bootstrap.known._replace(whole=True), cached=True)
+        self.listener.open(self.bootstrap.listen)
         self.discovery.start()
-        self.link.start(self.berth.registry)
-        self.note(f"{self.berth.name} listens on {self.berth.listen[0]}:{self.berth.listen[1]}")
+        self.relay.start(self.bootstrap.registry)
+        self.note(f"{self.bootstrap.name} listens on {self.bootstrap.listen[0]}:{self.bootstrap.listen[1]}")
 
     def reload(self):
         """A new configuration: discovery and the relay may be elsewhere. One that can't be read leaves the old standing."""
         try:
-            berth = Berth(self.berth.path)
+            bootstrap = Bootstrap(self.bootstrap.path)
         except Exception as error:      # whatever is wrong with a file, it must not end a planner that serves
             return self.note(f"the configuration stays as it was: {error}")
-        if (berth.name, berth.listen) != (self.berth.name, self.berth.listen):
-            return self.note(f"the configuration stays as it was: the new one is that of {berth.name}")
-        if berth.charter != self.berth.charter:
+        if (bootstrap.name, bootstrap.listen) != (self.bootstrap.name, self.bootstrap.listen):
+            return self.note(f"the configuration stays as it was: the new one is that of {bootstrap.name}")
+        if bootstrap.charter != self.bootstrap.charter:
             self.note("the settings stay as they were at the start: tables made by others would not go with them")
-        self.note(f"discovery at {berth.discovery}, the relay at {berth.registry}")
-        self.discovery.move(berth.discovery)
-        self.link.move(berth.registry)
+        self.note(f"discovery at {bootstrap.discovery}, the relay at {bootstrap.registry}")
+        self.discovery.move(bootstrap.discovery)
+        self.relay.move(bootstrap.registry)
 
     async def end(self):
         """Orders that wait are owed to proxies: those keep their tables, and a drain in them, until they join elsewhere."""
         try:
-            await within(LAST, self.link.calls.idle.wait())
+            await within(LAST, self.relay.calls.idle.wait())
         except TooLate:
             self.note("orders are left that the relay did not take in time")
 
 
-async def serve(berth, early):
+async def serve(bootstrap, early):
     """`early`: whether a new configuration was announced before anything could look at it."""
     loop, ended = asyncio.get_running_loop(), asyncio.Event()
-    service = Service(berth)
+    service = Service(bootstrap)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     loop.add_signal_handler(signal.SIGHUP, service.reload)
@@ -148,9 +148,9 @@
     handler.addFilter(Bounded())
     logging.basicConfig(level=logging.INFO, handlers=[handler])
     try:
-        berth = Berth(os.environ.get("EDGE_CONFIG", ""))
+        bootstrap = Bootstrap(os.environ.get("EDGE_CONFIG", ""))
     except (Malformed, OSError) as error:
         print(f"indigodeck edge: {error}", file=sys.stderr)
         return 2
-    asyncio.run(serve(berth, early))
+    asyncio.run(serve(bootstrap, early))
     return 0
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -22,10 +22,10 @@
 from tornado.web import Application, RequestHandler
 
 from indigodeck.charter import Malformed, charter_of
-from indigodeck.edge import codec, dialling, door, link
+from indigodeck.edge import codec, dialling, listener, relay_client
 from indigodeck.edge.desk import Desk
-from indigodeck.edge.news import News
-from indigodeck.edge.relay import Relay, key_of
+from indigodeck.edge.membership import Membership
+from indigodeck.edge.outbox import Outbox, key_of
 
 STATED = dict(SETTINGS, zones=["a", "b"], hostTypes=["m1", "m2"], limits={"probes": True, "peers": True},
               domain=dict(SETTINGS["domain"], proxies=20, linesPerS=1000.0, mostWaiting=1000.0, transitMs=100.0, pushDelayMaxMs=300.0),
@@ -164,17 +164,17 @@
 
 
 class Account(unittest.TestCase):
-    """relay.py: after any losses, the relay holds what it would have held without."""
+    """outbox.py: after any losses, the relay holds what it would have held without."""
 
     def setUp(self):
         self.clock, self.noted = 0, []
-        self.relay = Relay(lambda: self.clock, self.noted.append)
+        self.relay = Outbox(lambda: self.clock, self.noted.append)
 
     @settings(max_examples=400, deadline=None)
     @given(st.lists(st.tuples(st.lists(ORDERS, max_size=6), st.sampled_from(["taken", "done, lost", "not done, lost", "spoilt", "throttled",
                                                                             "waits"])), max_size=25))
     def test_losses_change_nothing_in_the_end(self, steps):
-        self.clock, relay, lossy, sound = 0, Relay(lambda: self.clock, self.noted.append), Held(), Held()
+        self.clock, relay, lossy, sound = 0, Outbox(lambda: self.clock, self.noted.append), Held(), Held()
         for number, (orders, fate) in enumerate(steps):
             relay.order(orders)
             if orders:
@@ -289,11 +289,11 @@
 
 
 class Joinings(unittest.TestCase):
-    """news.py: what the desk is told of proxies, whatever the connections do."""
+    """membership.py: what the desk is told of proxies, whatever the connections do."""
 
     def setUp(self):
         self.clock, self.told = 0, []
-        self.news = News(self, lambda: self.clock)
+        self.membership = Membership(self, lambda: self.clock)
 
     def proxy_joined(self, proxy, zone, rate, fresh):
         self.told.append(("joined", proxy))
@@ -302,51 +302,51 @@
         self.told.append(("left", proxy))
 
     def begin(self, line, *proxies):
-        self.news.opened(line)
+        self.membership.opened(line)
         for proxy in proxies:
-            self.news.hello(line, proxy, 0, 1.0, False)
-        self.news.alive(line)
+            self.membership.hello(line, proxy, 0, 1.0, False)
+        self.membership.alive(line)
 
     def take(self):
         told, self.told = self.told, []
         return told
 
     def test_two_connections_tell_of_each_joining_once(self):
-        self.news.opened("A")
-        self.news.opened("B")
+        self.membership.opened("A")
+        self.membership.opened("B")
         for line in "AB":
             for proxy in (1, 2):
-                self.news.hello(line, proxy, 0, 1.0, True)
-        self.news.alive("A")
-        self.news.alive("B")
+                self.membership.hello(line, proxy, 0, 1.0, True)
+        self.membership.alive("A")
+        self.membership.alive("B")
         self.assertEqual(self.take(), [("joined", 1), ("joined", 2)])
         for line in "BA":
-            self.news.bye(line, 1)
+            self.membership.bye(line, 1)
         self.assertEqual(self.take(), [("left", 1)])
         for line in "AB":
-            self.news.hello(line, 1, 0, 1.0, True)
+            self.membership.hello(line, 1, 0, 1.0, True)
         self.assertEqual(self.take(), [("joined", 1)])
         # One lags by a whole round.
-        self.news.bye("A", 1)
-        self.news.hello("A", 1, 0, 1.0, True)
-        self.news.bye("B", 1)
-        self.news.hello("B", 1, 0, 1.0, True)
+        self.membership.bye("A", 1)
+        self.membership.hello("A", 1, 0, 1.0, True)
+        self.membership.bye("B", 1)
+        self.membership.hello("B", 1, 0, 1.0, True)
         self.assertEqual(self.take(), [("left", 1), ("joined", 1)])
 
     def test_one_that_begins_anew_beside_another_changes_nothing(self):
         self.begin("A", 1, 2)
         self.begin("B", 1, 2)
         self.take()
-        self.news.closed("A")
+        self.membership.closed("A")
         self.begin("A", 1, 2)
         self.assertEqual(self.take(), [])
-        self.news.bye("A", 2)
+        self.membership.bye("A", 2)
         self.assertEqual(self.take(), [("left", 2)])
 
     def test_after_a_gap_all_are_new_and_who_is_not_named_has_left(self):
         self.begin("A", 1, 2)
         self.take()
-        self.news.closed("A")
+        self.membership.closed("A")
         self.assertEqual(self.take(), [])
         self.begin("A", 2, 3)
         self.assertEqual(self.take(), [("left", 2), ("joined", 2), ("joined", 3), ("left", 1)])
@@ -362,25 +362,25 @@
         self.begin("A", 1)
         self.begin("B", 1)
         self.take()
-        self.news.bye("B", 1)
-        self.news.hello("B", 4, 0, 1.0, True)
-        self.news.closed("A")
+        self.membership.bye("B", 1)
+        self.membership.hello("B", 4, 0, 1.0, True)
+        self.membership.closed("A")
         self.assertEqual(self.take(), [("left", 1), ("joined", 4)])
-        self.news.closed("B")
+        self.membership.closed("B")
         self.begin("A", 4)
         self.assertEqual(self.take(), [("left", 4), ("joined", 4)])
 
     def test_a_new_stream_without_a_word_on_the_old(self):
         self.begin("A", 1)
         self.take()
-        self.news.hello("A", 1, 0, 1.0, True)
+        self.membership.hello("A", 1, 0, 1.0, True)
         self.assertEqual(self.take(), [("left", 1), ("joined", 1)])
 
     @settings(deadline=None)
     @given(st.lists(st.tuples(st.sampled_from(["turn", "break", "ping"]), st.integers(0, 3), st.sampled_from("AB")), max_size=40))
     def test_in_the_end_all_agree(self, steps):
         """Both connections tell what the relay says; breaks come anywhere. The desk believes what stands."""
-        self.told, self.clock, news, standing = [], 0, News(self, lambda: self.clock), set()
+        self.told, self.clock, news, standing = [], 0, Membership(self, lambda: self.clock), set()
         for line in "AB":
             news.opened(line)
         for what, proxy, line in steps:
@@ -427,7 +427,7 @@
 class OneDesk(unittest.TestCase):
     def setUp(self):
         self.outside = Outside()
-        self.relay = Relay(self.outside.now, self.outside.note)
+        self.relay = Outbox(self.outside.now, self.outside.note)
         self.desk = Desk(self.outside, WORDS, self.relay, CHARTER, 7)
 
     def orders(self):
@@ -571,12 +571,12 @@
         from indigodeck.clock import now
         self.now, self.noted = now, []
         self.script = Script()
-        self.relay = Relay(now, self.noted.append)
+        self.relay = Outbox(now, self.noted.append)
 
     def linked(self, desk):
         from indigodeck.chance import Chance
-        news = News(desk, self.now)
-        made = link.Link(self.relay, news, desk, WORDS, self.now, self.noted.append, Chance(1))
+        news = Membership(desk, self.now)
+        made = relay_client.RelayClient(self.relay, news, desk, WORDS, self.now, self.noted.append, Chance(1))
         made.start(self.script.listen_somewhere())
         return made
 
@@ -630,11 +630,11 @@
                 raise KeyError("what any fault looks like")
         told.proxy_joined = joined
         made = self.linked(told)
-        await until(lambda: {0, 1, 2, 3} <= set(told.said) and len(made.news.views) == 2)
+        await until(lambda: {0, 1, 2, 3} <= set(told.said) and len(made.membership.views) == 2)
         self.assertIn("begins anew", "".join(self.noted))
 
     def opened(self, desk):
-        made = door.Door(desk, WORDS, self.now, 128)
+        made = listener.Listener(desk, WORDS, self.now, 128)
         sockets = bind_sockets(0, "127.0.0.1")
         made.add_sockets(sockets)
         return made, sockets[0].getsockname()[:2]
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -24,11 +24,11 @@
 from indigodeck.chance import Chance
 from indigodeck.charter import charter_of
 from indigodeck.clock import now
-from indigodeck.edge import codec, dialling, door, link
+from indigodeck.edge import codec, dialling, listener, relay_client
 from indigodeck.edge.desk import Desk
 from indigodeck.edge.discovery import DOUBTS, Discovery
-from indigodeck.edge.news import News
-from indigodeck.edge.relay import Relay
+from indigodeck.edge.membership import Membership
+from indigodeck.edge.outbox import Outbox
 
 
 def listing(*entries, version=1, whole=True):
@@ -200,8 +200,8 @@
         self.noted = []
 
     def linked(self, script):
-        self.relay, told = Relay(now, self.noted.append), Told()
-        made = link.Link(self.relay, News(told, now), told, WORDS, now, self.noted.append, Chance(1))
+        self.relay, told = Outbox(now, self.noted.append), Told()
+        made = relay_client.RelayClient(self.relay, Membership(told, now), told, WORDS, now, self.noted.append, Chance(1))
         made.start(script.listen_somewhere())
         return made, told
 
@@ -210,9 +210,9 @@
 
     @gen_test(timeout=30)
     async def test_what_comes_together_with_a_time_out_has_come(self):
-        listener, port = bind_unused_port()
+        accepting, port = bind_unused_port()
         stream = await dialling.dial(("127.0.0.1", port), SECOND)
-        other, _ = listener.accept()
+        other, _ = accepting.accept()
         waiting = asyncio.ensure_future(dialling.next_line(stream, 20_000))
         await dialling.sleep(0)
         other.sendall(b"answer\n")
@@ -221,7 +221,7 @@
             pass            # a stall of this program: the answer and the time-out are found at once
         self.assertEqual(await waiting, b"answer\n")
         other.close()
-        listener.close()
+        accepting.close()
 
     @gen_test(timeout=30)
     async def test_a_call_that_never_passes_is_written_slower_each_time(self):
@@ -274,22 +274,22 @@
         self.addCleanup(pings.stop)
         place, other = made.calls.place, second.listen_somewhere()
         for turn in range(6):
-            await until(lambda: any(made.news.has_whole(listener) for listener in made.listeners))
+            await until(lambda: any(made.membership.has_whole(subscription) for subscription in made.subscriptions))
             made.move(other if turn % 2 == 0 else place)
-        await until(lambda: all(made.news.has_whole(listener) for listener in made.listeners))
+        await until(lambda: all(made.membership.has_whole(subscription) for subscription in made.subscriptions))
         for script, most in ((first, 2), (second, 0)):
             await until(lambda: len([stream for stream in script.news if not stream.closed()]) == most)
-        self.assertEqual(len(made.news.views), 2)
+        self.assertEqual(len(made.membership.views), 2)
         self.assertEqual(told.said, [("joined", proxy) for proxy in range(4)])
 
     @gen_test(timeout=30)
     async def test_a_collector_that_gives_way_in_the_middle_of_a_report_takes_nothing_with_it(self):
         told = Told()
-        made = door.Door(told, WORDS, now, 128)
+        made = listener.Listener(told, WORDS, now, 128)
         sockets = bind_sockets(0, "127.0.0.1")
         made.add_sockets(sockets)
         line, callers = codec.pack(OUTCOMES) + b"\n", []
-        for number in range(door.COLLECTORS_MOST + 1):
+        for number in range(listener.COLLECTORS_MOST + 1):
             stream = await dialling.dial(sockets[0].getsockname()[:2], SECOND)
             await stream.write(b'{"type":"agent","zone":"a"}\n' + line + line[:40])
             await until(lambda: len(told.reports) == number + 1)
@@ -309,8 +309,8 @@
         self.folder = tempfile.TemporaryDirectory()
         self.addCleanup(self.folder.cleanup)
         self.path = pathlib.Path(self.folder.name) / "config.json"
-        listener, self.port = bind_unused_port()
-        listener.close()
+        accepting, self.port = bind_unused_port()
+        accepting.close()
 
     def configuration(self, registry, relay, **changes):
         return json.dumps(dict({
@@ -424,7 +424,7 @@
         made = []
         for stated in deployments:
             charter, outside = charter_of(stated), Outside()
-            words, relay = codec.Words(charter), Relay(outside.now, outside.note)
+            words, relay = codec.Words(charter), Outbox(outside.now, outside.note)
             made.append((stated, words, outside, relay, Desk(outside, words, relay, charter, 7)))
         ordered = [[] for _ in made]
         for turn in range(12):
@@ -453,7 +453,7 @@
 class OneDesk(unittest.TestCase):
     def setUp(self):
         self.outside = Outside()
-        self.relay = Relay(self.outside.now, self.outside.note)
+        self.relay = Outbox(self.outside.now, self.outside.note)
         self.desk = Desk(self.outside, WORDS, self.relay, CHARTER, 7)
 
     def test_a_probe_of_a_former_process_says_nothing_of_the_one_there_now(self):
