--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -41,8 +41,9 @@
 
 
 class Registry(TCPServer):
-    """Discovery as a script. Each question takes the next of `answers`: an object, bytes that end the connection, an `Event`
-    to wait for before the answer after it, or None for silence; with none left, nothing is new."""
+    """Discovery as a script. Each question takes the next of `answers`: an object, bytes or a list of such pieces that end the
+    connection, an `Event` to wait for before the answer after it, or None, as a piece too, for silence; with none left, nothing
+    is new."""
 
     def __init__(self, *answers):
         super().__init__()
@@ -60,10 +61,10 @@
             while isinstance(answer, Event):
                 await answer.wait()
                 answer = self.answers.pop(0)
-            if answer is None:
-                return await stream.read_until_close()
-            for byte in answer if isinstance(answer, list) else [answer if isinstance(answer, bytes) else http(answer)]:
-                await stream.write(byte)
+            for piece in answer if isinstance(answer, list) else [answer]:
+                if piece is None:
+                    await stream.read_until_close()
+                await stream.write(piece if isinstance(piece, bytes) else http(piece))
             stream.close()
         except StreamClosedError:
             pass
@@ -172,11 +173,12 @@
     @gen_test(timeout=60)
     async def test_silence_before_and_after_the_header_ends(self):
         sound = http(listing(entry("s-2"), version=2, whole=False))
-        registry = Registry(listing(entry("s-1")), None, [sound[:-5], b""], listing(entry("s-3"), version=3, whole=False))
-        registry.answers[2:3] = [None]
+        registry = Registry(listing(entry("s-1")), None, [sound[:sound.index(b"\r\n\r\n") + 4], None], [sound[:-5], None],
+                            listing(entry("s-3"), version=3, whole=False))
         self.watched(registry)
-        await until(lambda: len(self.told) == 2, 30)
+        await until(lambda: len(self.told) == 2, 40)
         self.assertEqual(self.told[1], (3, False, ["s-3"]))
+        self.assertEqual(registry.asked[:5], [None, 1, 1, 1, 1])
 
     @gen_test(timeout=30)
     async def test_the_whole_list_asked_for_while_a_change_is_under_way_loses_neither(self):
@@ -260,6 +262,39 @@
             self.assertEqual(script.held.tables, {0: {"s-1": 10.0 + place}})
         self.assertEqual(self.relay.unknown, 6)
 
+    @gen_test(timeout=30)
+    async def test_a_move_while_an_answer_is_out_neither_loses_nor_repeats_the_call(self):
+        first, second = Holding(), Script()
+        first.held_back = released = Event()
+        made, _ = self.linked(first)
+        place = second.listen_somewhere()
+        self.relay.order([WORDS.put(0, "s-1", 1.0)])
+        made.wanted()
+        await until(lambda: first.calls)
+        made.move(place)
+        self.relay.order([WORDS.put(0, "s-2", 2.0)])
+        made.wanted()
+        await until(lambda: second.news)
+        released.set()
+        await self.settled()
+        self.assertEqual([len(first.calls), len(second.calls)], [1, 1])
+        self.assertEqual([order["server"] for order in second.calls[0]["params"]["ops"]], ["s-2"])
+
+    @gen_test(timeout=30)
+    async def test_a_connection_closed_as_the_next_call_is_written_loses_nothing(self):
+        script = Script()
+        made, _ = self.linked(script)
+        await until(lambda: len(script.news) == 2)
+        for place in range(5):
+            made.calls.used_at = now()
+            self.relay.order([WORDS.put(0, "s-1", 1.0 + place)])
+            made.wanted()
+            await self.settled()
+            for stream in script.lines:
+                if stream not in script.news:
+                    stream.close()          # idle, says the relay; the next call may already be on its way
+        self.assertEqual(script.held.tables, {0: {"s-1": 5.0}})
+
     @gen_test(timeout=60)
     async def test_moves_to_and_fro_leave_no_connection_behind(self):
         first, second = Script(), Script()
@@ -392,7 +427,7 @@
 
     @gen_test(timeout=60)
     async def test_a_configuration_of_another_planner_or_with_other_settings_changes_no_table(self):
-        relays, registry = [Script(), Script(), Script()], Registry()
+        relays, registry = [Script(), Script(), Script()], Registry(listing(entry("s-1"), entry("s-2")))
         places = [relay.listen_somewhere() for relay in relays]
         self.path.write_text(self.configuration(registry, places[0]))
         program = self.begin()
@@ -408,6 +443,7 @@
         await relays[2].say(relays[2].news[0], "hello", dict(HELLO, proxy=6))
         await until(lambda: relays[2].held.bound, 20)
         self.assertFalse(relays[1].news)
+        self.assertEqual(registry.asked.count(None), 1)         # that address is the same, so its watch goes on
         named = {route for call in relays[2].calls for order in call["params"]["ops"] for route in order.get("routes", ())}
         self.assertLessEqual(named, {kind["name"] for kind in STATED["classes"]})
 
