A subscription that comes up after its successors are whole is given up

Now it is ended by name, and looks once it is connected. The test holds the dial until the successors are whole; on the text before it fails (it did not come true).

--- a/indigodeck/edge/relay_client.py
+++ b/indigodeck/edge/relay_client.py
@@ -70,12 +70,14 @@
 
     def __init__(self, membership, desk, words, place, whole, note, chance):
         self.membership, self.desk, self.words, self.place, self.whole, self.note = membership, desk, words, place, whole, note
-        self.pauses, self.retired, self.stream = Pauses(chance), False, None
+        self.pauses, self.retired, self.ended, self.stream = Pauses(chance), False, False, None
 
     async def run(self):
         while not self.retired:
             try:
                 self.stream = await dial(self.place, CONNECT)
+                if self.ended:      # while it was dialling: there was no stream to close then
+                    return
                 await within(CONNECT, self.stream.write(codec.call(0, "subscribe")))
                 await self._follow(self.stream)
             except (*LOST, Malformed) as error:
@@ -90,6 +92,11 @@
         if self.stream is not None:
             self.stream.close()
 
+    def end(self):
+        """Its successors tell all that it told."""
+        self.retired = self.ended = True
+        self.close()
+
     async def _follow(self, stream):
         begun = False
         while True:
@@ -147,7 +154,7 @@
         stay for good, and the relay holds so many of a planner's, no more."""
         if any(self.membership.has_whole(subscription) for subscription in self.subscriptions):
             for subscription in self.former:
-                subscription.close()
+                subscription.end()
             self.former = []
 
     def wanted(self):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -10,6 +10,7 @@
 import tempfile
 import time
 import unittest
+import unittest.mock
 
 from rig import SECOND
 from test_edge import CHARTER, HELLO, OUTCOMES, STATED, WORDS, Held, Outside, Script, Told, catalog, entry
@@ -207,6 +208,15 @@
         made.start(script.listen_somewhere())
         return made, told
 
+    def pinging(self, *scripts):
+        """Signs of life on every connection for news, or silence would end them."""
+        def ping():
+            for stream in [stream for script in scripts for stream in script.news if not stream.closed()]:
+                IOLoop.current().add_callback(Script.say, stream, "ping", {})
+        pings = PeriodicCallback(ping, 200)
+        pings.start()
+        self.addCleanup(pings.stop)
+
     async def settled(self):
         await until(lambda: self.relay.wait() is None and self.relay.under_way is None)
 
@@ -298,14 +308,7 @@
     async def test_moves_to_and_fro_leave_no_connection_behind(self):
         first, second = Script(), Script()
         made, told = self.linked(first)
-
-        def ping():
-            for stream in first.news + second.news:
-                if not stream.closed():
-                    IOLoop.current().add_callback(Script.say, stream, "ping", {})
-        pings = PeriodicCallback(ping, 200)         # or silence would end them
-        pings.start()
-        self.addCleanup(pings.stop)
+        self.pinging(first, second)
         place, other = made.calls.place, second.listen_somewhere()
         for turn in range(6):
             await until(lambda: any(made.membership.has_whole(subscription) for subscription in made.subscriptions))
@@ -316,6 +319,33 @@
         self.assertEqual(len(made.membership.views), 2)
         self.assertEqual(told.said, [("joined", proxy) for proxy in range(4)])
 
+    @gen_test(timeout=60)
+    async def test_a_connection_that_comes_up_after_its_successors_are_whole_is_given_up(self):
+        first, second, released, held = Script(), Script(), Event(), []
+        made, told = self.linked(first)
+        await until(lambda: len(first.news) == 2)
+        dial, place = relay_client.dial, made.calls.place
+
+        async def late(where, patience):
+            stream = await dial(where, patience)
+            if where == place:
+                held.append(stream)
+                await released.wait()
+            return stream
+
+        self.pinging(first, second)
+        with unittest.mock.patch.object(relay_client, "dial", late):
+            first.news[0].close()
+            await until(lambda: held)
+            made.move(second.listen_somewhere())
+            await until(lambda: all(made.membership.has_whole(subscription) for subscription in made.subscriptions))
+            await until(lambda: not made.former)
+            released.set()
+            await until(lambda: held[0].closed())
+        self.assertEqual(len(held), 1)
+        self.assertEqual(len(first.news), 2)        # it asked for no news any more
+        self.assertEqual(len(made.membership.views), 2)
+
     @gen_test(timeout=30)
     async def test_a_collector_that_gives_way_in_the_middle_of_a_report_takes_nothing_with_it(self):
         told = Told()
