Stock clients in tests have few exchanges under way: a slow machine slows them, times none out

Cause: 15 gRPC hosts, the planner and its probes share the test's process with asyncio's debug mode, which takes as much time as all of them (16.8 s of processor time for both tests, 8.9 s without it); relays sent 240 exchanges a second whatever came back, so a slow machine fell behind for good. Ruled out: the front (no response was missing), the processors' number.

--- a/indigodeck/cli.py
+++ b/indigodeck/cli.py
@@ -565,10 +565,11 @@
 @click.option("--class", "names", multiple=True, required=True)
 @click.option("--rate", default=50.0, show_default=True)
 @click.option("--seconds", default=10.0, show_default=True)
-def stock(planner, uid, hall, names, rate, seconds):
+@click.option("--concurrency", default=256, show_default=True, type=click.IntRange(1), help="Exchanges under way, at most.")
+def stock(planner, uid, hall, names, rate, seconds, concurrency):
     """The stock gRPC client as a relay; writes an outcome for each exchange as a JSON line."""
     from .standins.stock import drive
-    asyncio.run(drive(planner, uid, hall, names, rate, seconds, lambda line: click.echo(json.dumps(line)), now))
+    asyncio.run(drive(planner, uid, hall, names, rate, seconds, concurrency, lambda line: click.echo(json.dumps(line)), now))
 
 
 @standin.command()
--- a/indigodeck/standins/stock.py
+++ b/indigodeck/standins/stock.py
@@ -67,12 +67,13 @@
                        "node": {"id": uid, "locality": {"zone": hall}}})
 
 
-async def drive(planner, uid, hall, names, rate, seconds, write, now):
-    """Sends `rate` exchanges a second, evenly over the classes, and writes one outcome each."""
+async def drive(planner, uid, hall, names, rate, seconds, concurrency, write, now):
+    """Sends `rate` exchanges a second, evenly over the classes, and writes one outcome each. No more than `concurrency` are
+    under way: hosts that a slow machine gives too little time are asked less often, rather than later and later."""
     os.environ["GRPC_XDS_BOOTSTRAP_CONFIG"] = bootstrap(planner, uid, hall)
     channels = {name: grpc.aio.insecure_channel(f"xds:///{name}") for name in names}
     calls = {name: channel.unary_unary(METHOD + name) for name, channel in channels.items()}
-    tasks, begun, sent = set(), now(), 0
+    tasks, begun, sent, free = set(), now(), 0, asyncio.Semaphore(concurrency)
 
     async def one(name, nth):
         at, outcome = now(), "ok"
@@ -83,9 +84,10 @@
         write({"at": at, "relay": uid, "class": name, "outcome": outcome, "took": now() - at})
 
     while now() - begun < seconds * SECOND:
+        await free.acquire()
         task = asyncio.get_running_loop().create_task(one(names[sent % len(names)], sent))
         tasks.add(task)
-        task.add_done_callback(tasks.discard)
+        task.add_done_callback(lambda task: (tasks.discard(task), free.release()))
         sent += 1
         await asyncio.sleep(max(0.0, (begun + sent * SECOND / rate - now()) / SECOND))
     await asyncio.gather(*tasks)
