Levels are cut again only by reports begun after the last cut arrived

Cause: choice.py _turn_valve and Valve.turn. The echo lets a level be cut again a report's span after the cut, or at once when failures grow ('failing > self.failed + 0.15'); reports span 7 to 8 s at this size, so those that come a second or even eight seconds later speak of the time before it. Now a level below 1 is cut only when more than half of the reports are begun after the last turn arrived, and busy is read off these. The new test fails on the text before (second cut 3 s after the first by reports of 5 s).

--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -1,8 +1,7 @@
 """Decides which servers serve which class of exchanges, by shuffle sharding (see docs/design.md).
 
-Make one `Assigner` for each instance with a host (host.py), the charter (a plain map of what the deployment
-states at start) and a seed. Call the method named for what has happened, as `listed` for the list of servers
-or `heard` for a report; it acts by calling the host. Times are whole microseconds, ids small indices.
+Make one `Assigner` an instance, with a host (host.py), the charter (a map of what the deployment states)
+and a seed. Call the method for what has happened, as `heard` for a report; it calls the host in microseconds.
 """
 from collections import defaultdict, deque
 from itertools import product
@@ -31,8 +30,8 @@
     """How much is let in to servers that share load. Answer times tell: they rise before failures do."""
 
     def __init__(self):
-        self.open, self.target, self.asked, self.failed = 1.0, 0.0, 0.0, 0.0
-        self.turned_at, self.cut, self.calmest, self.lost = 0, False, 9.0, 0.0
+        self.open, self.target, self.asked, self.failed, self.lost = 1.0, 0.0, 0.0, 0.0, 0.0
+        self.turned_at, self.cut, self.calmest = 0, False, 9.0
         self.shown, self.seen = deque(maxlen=32), deque(maxlen=3)
 
     def turn(self, now, echo, calmest, busy, failing, tried, done, weight, may_cut):
@@ -429,14 +428,15 @@
         serves = {i: frozenset(table.place for table in self.tables if i in table.lines) for i in ready}
         for index, server in ready.items():
             recent[index] = self.health[index].since(since)
-            for zone, (_, tries, failed, took, _) in recent[index]:
+            for zone, (at, tries, failed, took, span) in recent[index]:
                 if tries > failed and took:
-                    times[zone, server.kind, serves[index]].append((index, took, min(ENOUGH, tries - failed)))
+                    sample = index, took, min(ENOUGH, tries - failed), at - span
+                    times[zone, server.kind, serves[index]].append(sample)
             tries, failed = (sum(report[k] for _, report in recent[index]) for k in (1, 2))
             if tries >= ENOUGH:
                 fails[index] = failed / tries if failed > ENOUGH // 2 else 0.0
         everything = [sample for samples in times.values() for sample in samples]
-        busy = (quantile(0.5, [sample[1:] for sample in everything]) or 0.0) / agreed
+        busy = (quantile(0.5, [sample[1:3] for sample in everything]) or 0.0) / agreed
         for zone, valve in self.valves.items():
             self._turn_valve(zone, valve, self._ready(zone), everything, fails, agreed, busy)
         failing, near = median(fails.values()) if fails else 0.0, defaultdict(list)
@@ -447,7 +447,7 @@
             good = sum(report[1] - report[2] for _, report in reports)
             ratio = own = 0.0
             for zone, (_, tries, failed, took, _) in reports:
-                others = [sample[1:] for sample in times[zone, ready[index].kind, serves[index]]
+                others = [sample[1:3] for sample in times[zone, ready[index].kind, serves[index]]
                           if sample[0] != index]
                 if tries > failed and took and len(others) >= 2:
                     ratio += (tries - failed) / good * took / quantile(0.5, others)
@@ -485,9 +485,8 @@
             server for i, server in ready.items() if self.health[i].barred or i == index)
         if out > weigh(ready.values()) * (OUT_SLOW if cause == "slow" else OUT_FAILED):
             return
-        health.barred |= frozenset(places)
+        health.barred, health.trial, health.strikes = health.barred | frozenset(places), 0, 0
         health.out, health.until = cause != "slow", self.host.now() + health.spell
-        health.trial, health.strikes = 0, 0
         self.host.log(f"server {index} leaves classes {places}: {cause}")
 
     def _try_again(self, health):
@@ -498,16 +497,20 @@
         now, period = self.host.now(), self.charter["report_period"]
         tried, done = (sum(flow) for flow in zip((0, 0), *(self.health[i].flow(now, period) for i in ready)))
         weight = sum(server.weight * self._ramp(server) for server in ready.values())
-        took = [sample[1:] for sample in everything if sample[0] in ready]
+        took = [sample[1:3] for sample in everything if sample[0] in ready]
+        # Reports begun before the last turn arrived tell of what was before: cut by them, levels fell twice.
+        arrived = valve.turned_at + self.charter["way_longest"] + self.channel.late(now)
+        since = [sample[1:3] for sample in everything if sample[0] in ready and sample[3] > arrived]
+        told = since if 2 * len(since) >= len(took) else took
         failing = [part for index, part in fails.items() if index in ready]
         # Without proxies nothing is let in: wound down by what others bring, levels refuse who joins later.
         if not (weight and tried and failing and self.proxies.joined()):
             return
         # Two of five slow answers tell a flood from a few bad servers. No answer at all is the deepest jam.
-        busy = quantile(0.6, took) / agreed if took else 2.0
+        busy = quantile(0.6, told) / agreed if took else 2.0
         # In a jam the fleet's valve decides, unless a zone is far worse by the word of half its servers.
-        may_cut = zone is None or 2 * len(failing) >= len(ready) and (
-            self.valves[None].open == 1 or fleet_busy < BUSY and busy > 1.5 * fleet_busy)
+        may_cut = (told is since or valve.open == 1) and (zone is None or 2 * len(failing) >= len(ready) and (
+            self.valves[None].open == 1 or fleet_busy < BUSY and busy > 1.5 * fleet_busy))
         calm = min(other.calmest for other in self.valves.values())
         if valve.turn(now, self._echo(), calm, busy, median(failing), tried, done, weight, may_cut):
             refuse = 1 - self.valves[None].open
--- a/indigodeck/records.py
+++ b/indigodeck/records.py
@@ -1,5 +1,5 @@
 """What the assigner keeps, and figures worked out from it; what follows from them stands in choice.py."""
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 
 SECOND = 1_000_000
 
@@ -49,8 +49,7 @@
         """Exchanges a second of a class, as a mean and at the peak of the last reports."""
         samples = self.demand.get(place)
         if not samples:
-            rate = 0.0 if self.demand else self.rate / classes
-            return rate, rate
+            return (0.0 if self.demand else self.rate / classes,) * 2
         mean = sum(many for many, _ in samples) * SECOND / sum(span for _, span in samples)
         return mean, max(many * SECOND / span for many, span in samples)
 
@@ -85,10 +84,8 @@
 
     def expected(self, now):
         """The same, with what proxies bring that have not joined yet, or joined another planner."""
-        rates, known, usual = self.rates(now), defaultdict(int), defaultdict(float)
-        for proxy in self.values():
-            known[proxy.seat] += 1
-        seats = self.charter["proxies"] / len(self.serving)
+        rates, known = self.rates(now), Counter(proxy.seat for proxy in self.values())
+        seats, usual = self.charter["proxies"] / len(self.serving), defaultdict(float)
         missing = {seat: max(0.0, seats - known[seat]) for seat in self.serving}
         scale = max(0, self.charter["proxies"] - len(self)) / max(1e-9, sum(missing.values()))
         for table in dict.fromkeys(table for serving in self.serving.values() for table in serving):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -239,6 +239,20 @@
         self.assertLess(opens[0], 0.6)
         self.assertTrue(all(after <= 1.51 * before + 0.01 for before, after in zip(opens, opens[1:])), opens)
 
+    def test_a_level_is_cut_again_only_by_reports_begun_after_the_last_cut(self):
+        rig, span, cuts = Rig(), 5 * SECOND, []
+
+        def reports(rig):
+            # A few servers each second, as where there are more than are let in; far worse from the first cut on.
+            cuts[:] = [float(line.split()[0]) for line in rig.printed if "zone None open" in line]
+            took, failed = (900_000, 45 if cuts else 6) if rig.clock > 10 * SECOND else (200_000, 0)
+            for index in range(rig.clock // SECOND % 5, 12, 5):
+                rig.assigner.heard(0, index, 60, failed, took, span, None)
+        rig.start(fleet())
+        rig.run(40, reports)
+        self.assertGreater(len(cuts), 1)
+        self.assertGreater(cuts[1] - cuts[0], span / SECOND)
+
     def test_failures_with_quick_answers_close_no_valve(self):
         rig = Rig()
         rig.start(fleet())
