--- a/indigodeck/choice.py
+++ b/indigodeck/choice.py
@@ -1,7 +1,7 @@
 """Decides which servers serve which class of exchanges, by shuffle sharding (see docs/design.md).
 
-Make one `Assigner` an instance, with a host (host.py), the charter (a map of what the deployment states)
-and a seed. Call the method for what has happened, as `heard` for a report; it calls the host in microseconds.
+Make one `Assigner` an instance, with a host (host.py), the charter (a map of what the deployment states) and
+a seed. Call the method for what has happened; it acts by calling the host. Times are whole microseconds.
 """
 from collections import defaultdict, deque
 from itertools import product
