--- a/review/standin.py
+++ b/review/standin.py
@@ -780,6 +780,12 @@
         self.violations.append(what)
         self.record.write("RULE_BROKEN", what=repr(what))
 
+    def most_messages(self, proxy: Proxy) -> int:
+        """Return the most messages that were written to a proxy within the limit's span."""
+        span = self.settings["domain"]["reloadSpanMs"] / 1000
+        times = proxy.message_times
+        return max((sum(at <= t < at + span for t in times) for at in times), default=0)
+
     async def wait_until_bound(self, limit_s: float = 10.0) -> None:
         """Wait until the planner has bound every joined proxy."""
         deadline = time.monotonic() + limit_s
