--- a/indigodeck/assignment/shards.py
+++ b/indigodeck/assignment/shards.py
@@ -181,22 +181,28 @@
         """Return the targets for local servers (the table's zone) and for remote servers.
 
         Remote servers get the load above what local servers take at the mean load of the fleet.
+        What eligible remote servers are too few to hold stays local: the mean is of all ready
+        servers, and ejected ones take no load.
         """
         local, remote = self._split_by_zone(table, pool, context)
         needed = self._needed_weight(table, local, remote, context)
-        local_share = 1.0
-        if not (table.zone_bound or table.zone is None):
-            zone_bound_rate = context.admitted_rates[table.zone, True]
-            unbound_rate = max(EPSILON, context.admitted_rates[table.zone, False])
-            local_share = (context.mean_load * local.weight - zone_bound_rate) / unbound_rate
-            local_share = (
-                round(max(0.0, min(1.0, local_share)) * REMOTE_SHARE_STEPS) / REMOTE_SHARE_STEPS
-            )
+        local_share = self._local_share(table, local, context)
+        remote_needed = needed * (1 - local_share)
+        remote_shortage = max(0.0, remote_needed - remote.weight)
         return (
-            ZoneTarget(local.servers, local.weight, needed * local_share),
-            ZoneTarget(remote.servers, remote.weight, needed * (1 - local_share)),
+            ZoneTarget(local.servers, local.weight, needed * local_share + remote_shortage),
+            ZoneTarget(remote.servers, remote.weight, remote_needed - remote_shortage),
         )
 
+    def _local_share(self, table: Table, local: ServerSubset, context: _UpdateContext) -> float:
+        """Return the share of a table's load for local servers, rounded to steps."""
+        if table.zone_bound or table.zone is None:
+            return 1.0
+        zone_bound_rate = context.admitted_rates[table.zone, True]
+        unbound_rate = max(EPSILON, context.admitted_rates[table.zone, False])
+        share = (context.mean_load * local.weight - zone_bound_rate) / unbound_rate
+        return round(max(0.0, min(1.0, share)) * REMOTE_SHARE_STEPS) / REMOTE_SHARE_STEPS
+
     def _split_by_zone(
         self, table: Table, pool: dict[int, Server], context: _UpdateContext
     ) -> tuple[ServerSubset, ServerSubset]:
--- a/tests/assignment/test_shards.py
+++ b/tests/assignment/test_shards.py
@@ -3,10 +3,11 @@
 import dataclasses
 import unittest
 
-from harness import RecordingHost, TraceTestCase, deployment_settings
+from harness import RecordingHost, TraceTestCase, deployment_settings, server
 
 from assignment.scenarios import fleet, large_deployment, zone_bound_host
-from indigodeck.assignment.interface import DemandReport
+from indigodeck.assignment.interface import DemandReport, ServerState
+from indigodeck.assignment.outlier_detection import EjectionCause
 from indigodeck.clock import SECOND
 
 
@@ -81,3 +82,61 @@
         host = large_deployment(joined=1)
         table = host.assigner.state.proxies.tables_of(0)[0]
         self.assertTrue(all(index % 3 == 0 for index in table.members))
+
+
+class EjectionFromGroupShardsTest(unittest.TestCase):
+    """Proxy groups of deployments that have no eligible server in any other zone."""
+
+    def run_until_ejected(self, host, failing):
+        """Let a server fail all of its requests until it has been ejected."""
+        host.run(3, lambda host: host.report(failed=lambda index: 20 if index == failing else 0))
+        self.assertTrue(host.assigner.state.health[failing].fully_ejected)
+
+    def test_ejection_in_one_zone_does_not_stop_the_updates(self):
+        """Guards against review/1: a shard divided by the empty set of remote servers."""
+        host = RecordingHost(deployment_settings(proxy_count=10))
+        host.start(fleet(), proxies=10)
+        host.run(6, lambda host: host.report())
+        self.run_until_ejected(host, failing=4)
+        host.update_servers(server(7, ServerState.DRAINING))
+        self.assertEqual(host.assigner.state.ejected, {7})
+
+    def test_shards_of_one_zone_keep_their_size_after_an_ejection(self):
+        """Guards against review/1: what no remote server can hold must stay with local ones."""
+        read = deployment_settings().classes[0]
+        classes = tuple(dataclasses.replace(read, name=f"class {k}") for k in range(8))
+        host = RecordingHost(deployment_settings(proxy_count=10, classes=classes))
+        host.start(fleet(32), proxies=10)
+        reports = {"demand": (50,) * 8, "servers": 32}
+        host.run(20, lambda host: host.report(**reports))
+        tables = host.assigner.state.tables
+        sizes_before = [len(table.members) for table in tables]
+        for failing in (4, 9, 13):
+            host.assigner.outliers.eject(
+                failing, range(8), EjectionCause.FAILING, host.assigner.state.ready_servers()
+            )
+        host.run(7, lambda host: host.report(**reports))
+        self.assertTrue(host.assigner.state.health[13].fully_ejected)
+        self.assertFalse({4, 9, 13} & set().union(*(table.members for table in tables)))
+        self.assertEqual([len(table.members) for table in tables], sizes_before)
+
+    def test_restart_of_a_whole_zone_does_not_stop_the_updates(self):
+        """Guards against review/1 with two zones, one of which is ejected as a whole."""
+        host = RecordingHost(deployment_settings(zone_count=2, proxy_count=20))
+        host.clock = 60 * SECOND
+        servers = [server(index, zone=int(index >= 8), started=50 * SECOND) for index in range(14)]
+        host.start(servers, proxies=16)
+        for proxy in range(16, 20):
+            host.assigner.on_proxy_joined(proxy, 1, 50.0, True)
+        host.run(5, lambda host: host.report(servers=14))
+        restarted = [entry._replace(started=host.clock) for entry in servers if entry.zone]
+        host.update_servers(*restarted)
+        self.assertTrue(
+            all(host.assigner.state.health[entry.index].fully_ejected for entry in restarted)
+        )
+        host.run(3, lambda host: host.report(servers=14))
+        for table in host.assigner.state.tables:
+            self.assertTrue(table.members)
+            self.assertTrue(all(member < 8 for member in table.members))
+        host.update_servers(server(3, ServerState.DRAINING))
+        self.assertEqual(host.assigner.state.ejected, {3})
