Zone parts: the whole load stays local only where no other zone has an eligible server

The smaller departure: ShardPlanner._local_share is 1 where nobody elsewhere is eligible. The text before named two kinds of such tables (zone-bound, and for all zones) and missed the third, which raised; one condition covers all three.

--- a/indigodeck/assignment/shards.py
+++ b/indigodeck/assignment/shards.py
@@ -181,22 +181,24 @@
         """Return the targets for local servers (the table's zone) and for remote servers.
 
         Remote servers get the load above what local servers take at the mean load of the fleet.
-        What eligible remote servers are too few to hold stays local: the mean is of all ready
-        servers, and ejected ones take no load.
         """
         local, remote = self._split_by_zone(table, pool, context)
         needed = self._needed_weight(table, local, remote, context)
-        local_share = self._local_share(table, local, context)
-        remote_needed = needed * (1 - local_share)
-        remote_shortage = max(0.0, remote_needed - remote.weight)
+        local_share = self._local_share(table, local, remote, context)
         return (
-            ZoneTarget(local.servers, local.weight, needed * local_share + remote_shortage),
-            ZoneTarget(remote.servers, remote.weight, remote_needed - remote_shortage),
+            ZoneTarget(local.servers, local.weight, needed * local_share),
+            ZoneTarget(remote.servers, remote.weight, needed * (1 - local_share)),
         )
 
-    def _local_share(self, table: Table, local: ServerSubset, context: _UpdateContext) -> float:
-        """Return the share of a table's load for local servers, rounded to steps."""
-        if table.zone_bound or table.zone is None:
+    def _local_share(
+        self, table: Table, local: ServerSubset, remote: ServerSubset, context: _UpdateContext
+    ) -> float:
+        """Return the share of a table's load for local servers, rounded to steps.
+
+        Without eligible remote servers, local ones take the whole load, even if that is above the
+        mean of the fleet: the mean also counts ejected servers, which take none.
+        """
+        if not remote.servers:
             return 1.0
         zone_bound_rate = context.admitted_rates[table.zone, True]
         unbound_rate = max(EPSILON, context.admitted_rates[table.zone, False])
