--- a/indigodeck/assignment/channel_account.py
+++ b/indigodeck/assignment/channel_account.py
@@ -102,6 +102,19 @@
             proxy.message_times.popleft()
         return len(proxy.message_times)
 
+    def can_continue(self, proxy: Proxy, now: int, interval: int, max_messages: int) -> bool:
+        """Return whether a message now leaves room for one every `interval` from then on.
+
+        At no time may more than `max_messages` lie within the limit's time window.
+        """
+        self.recent_message_count(proxy, now)  # drops the times before the window
+        window = self.settings.channel.message_window
+        for newer_or_equal, sent_at in enumerate(reversed(proxy.message_times), start=1):
+            further_messages = (sent_at + window - now) // interval
+            if newer_or_equal + 1 + further_messages > max_messages:
+                return False
+        return True
+
     def new_ack_request(self, now: int) -> int:
         """Register a request to acknowledge all orders so far, and return its number."""
         self.last_ack_number = self.last_ack_number % MAX_ACK_NUMBER + 1
--- a/indigodeck/assignment/delivery.py
+++ b/indigodeck/assignment/delivery.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Iterator
+from math import ceil
 from typing import NamedTuple
 
 from .admission import RETRY_POLICY, AdmissionLevels
@@ -43,12 +44,14 @@
     """Sends orders to proxies within the limits on the channel's queue and on messages per proxy.
 
     `joining` are proxies that wait for their tables; until then they may hold older tables.
+    `delayed_since` holds since when ejections, or their ends, wait for the message limit.
     """
 
     def __init__(self, state: AssignerState, admission: AdmissionLevels) -> None:
         self.state = state
         self.admission = admission
         self.joining: list[int] = []
+        self.delayed_since: dict[int, int] = {}
         self.published_at = -MAX_EJECTION_TIME
 
     def begin_call(self) -> None:
@@ -92,13 +95,19 @@
         now = state.host.now()
         to_eject = state.health.keys() - ready.keys() - state.ejected
         to_uneject = state.ejected & ready.keys()
+        due = to_eject | to_uneject
+        self.delayed_since = {
+            server: since for server, since in self.delayed_since.items() if server in due
+        }
         any_sent = False
-        for server in sorted(to_eject | to_uneject):
+        for server in sorted(due):
             holders = joined.intersection(self.joining).union(
                 *(table.proxies for table in state.tables if server in table.published_weights)
             )
             if not self._within_message_limit(holders, RESERVE_AFTER_EJECTION):
+                self.delayed_since.setdefault(server, now)
                 continue
+            self._log_delay(server, now)
             if server in ready:
                 state.host.uneject_server(server)
             else:
@@ -109,6 +118,12 @@
             any_sent = True
         return any_sent
 
+    def _log_delay(self, server: int, now: int) -> None:
+        """Log how long an ejection, or its end, waited for the message limit, if it did."""
+        delay = now - self.delayed_since.pop(server, now)
+        if delay:
+            self.state.host.log(f"ejection_delayed server={server} delay_us={delay}")
+
     def assign_joining(self) -> None:
         """Assign joined proxies their tables while the channel has room, highest rate first."""
         state = self.state
@@ -220,16 +235,38 @@
             del table.published_weights[change.server]
 
     def _within_message_limit(self, proxies: Iterable[int], reserve: int) -> bool:
-        """Return whether a message to each proxy leaves `reserve` more below the message limit."""
+        """Return whether each proxy may get a message.
+
+        It must leave `reserve` more below the message limit, and a message for ejections every
+        `_max_ejection_wait` from now on.
+        """
         max_messages = self.state.settings.channel.max_messages
+        if not max_messages:
+            return True
         now = self.state.host.now()
         channel = self.state.channel
-        return not max_messages or all(
-            channel.recent_message_count(self.state.proxies[proxy], now) + reserve < max_messages
-            for proxy in proxies
-            if proxy not in channel.call_recipients
+        max_wait = self._max_ejection_wait()
+        recipients = [
+            self.state.proxies[proxy] for proxy in proxies if proxy not in channel.call_recipients
+        ]
+        return all(
+            channel.recent_message_count(proxy, now) + reserve < max_messages
+            and channel.can_continue(proxy, now, max_wait, max_messages - RESERVE_AFTER_EJECTION)
+            for proxy in recipients
         )
 
+    def _max_ejection_wait(self) -> int:
+        """Return for how many microseconds ejections may be gathered into one message.
+
+        Half of the drain grace that delivery leaves; the other half covers timers and the queue.
+        It is longer where the message limit does not allow that many messages.
+        """
+        settings = self.state.settings
+        channel = settings.channel
+        spare_time = (settings.drain_grace - channel.max_delivery_delay) // 2
+        messages_per_window = max(1, channel.max_messages - RESERVE_AFTER_EJECTION - 1)
+        return max(spare_time, ceil(channel.message_window / messages_per_window))
+
 
 def _level_differs(level: float, published: float | None) -> bool:
     if published is None or abs(level - published) > MIN_LEVEL_CHANGE:
--- a/tests/assignment/scenarios.py
+++ b/tests/assignment/scenarios.py
@@ -13,6 +13,11 @@
     return [server(index, **fields) for index in range(count)]
 
 
+def fleet_in_zones(count, zones):
+    """Return `count` ready servers with indices from 0, spread over zones in turn."""
+    return [server(index, zone=index % zones) for index in range(count)]
+
+
 def zone_bound_host():
     """Return a host with two zones whose second class is zone-bound.
 
@@ -24,7 +29,7 @@
             zone_count=2, classes=(read, dataclasses.replace(write, zone_bound=True))
         )
     )
-    host.start([server(index, zone=index % 2) for index in range(12)], zones=2)
+    host.start(fleet_in_zones(12, 2), zones=2)
     return host
 
 
@@ -39,9 +44,7 @@
             **settings,
         )
     )
-    host.assigner.on_endpoint_update(
-        UpdateKind.INCREMENTAL, [server(index, zone=index % 3) for index in range(90)]
-    )
+    host.assigner.on_endpoint_update(UpdateKind.INCREMENTAL, fleet_in_zones(90, 3))
     for proxy in range(joined):
         host.assigner.on_proxy_joined(proxy, proxy % 3, 4.0, True)
     host.run(1 / SECOND)
--- a/tests/assignment/test_channel_account.py
+++ b/tests/assignment/test_channel_account.py
@@ -3,6 +3,8 @@
 import unittest
 
 from harness import RecordingHost, deployment_settings, server
+from hypothesis import given
+from hypothesis import strategies as st
 
 from assignment.scenarios import fleet
 from indigodeck.assignment.channel_account import ChannelAccount
@@ -62,6 +64,41 @@
         self.assertGreater(host.assigner.state.feedback_delay(), before + 2 * SECOND)
 
 
+class MessageLimitTest(unittest.TestCase):
+    """Which messages leave room for further ones at even intervals."""
+
+    WINDOW = 10 * SECOND
+    MAX_MESSAGES = 8
+
+    def follows_schedule(self, times, now, interval):
+        """Return whether messages now and every `interval` from then on keep to the limit."""
+        times = sorted(times)
+        for at in range(now, now + self.WINDOW + 1, interval):
+            times.append(at)
+            if sum(at - self.WINDOW <= earlier for earlier in times) > self.MAX_MESSAGES:
+                return False
+        return True
+
+    @given(
+        st.lists(st.integers(0, 40 * SECOND), max_size=12),
+        st.integers(10 * SECOND // 7, 5 * SECOND),
+    )
+    def test_allowed_messages_leave_room_for_the_following_ones(self, times, interval):
+        """The answer is that of playing the following messages one by one."""
+        now = 40 * SECOND
+        channel = ChannelAccount(
+            deployment_settings(message_window=self.WINDOW, max_messages=self.MAX_MESSAGES),
+            0,
+            20 * SECOND,
+        )
+        proxy = Proxy(Locality(0, 0), 1.0, {})
+        proxy.message_times.extend(sorted(times))
+        self.assertEqual(
+            channel.can_continue(proxy, now, interval, self.MAX_MESSAGES),
+            self.follows_schedule(times, now, interval),
+        )
+
+
 class SlowChannelTest(unittest.TestCase):
     """A channel that is slower than configured."""
 
--- a/tests/assignment/test_delivery.py
+++ b/tests/assignment/test_delivery.py
@@ -4,7 +4,7 @@
 
 from harness import RecordingHost, TraceTestCase, deployment_settings, server
 
-from assignment.scenarios import fleet, large_deployment
+from assignment.scenarios import fleet, fleet_in_zones, large_deployment
 from indigodeck.assignment.interface import ServerState, UpdateKind
 from indigodeck.clock import SECOND
 
@@ -68,6 +68,101 @@
         self.assertEqual(host.assigner.state.ejected, {others[0], min(held)})
 
 
+class MessageLog:
+    """The times of all messages to each proxy; `update` must be called within the limit's span."""
+
+    def __init__(self, host):
+        self.host = host
+        self.updated_at = -1
+        self.times = {number: [] for number in host.assigner.state.proxies}
+        self.update()
+
+    def update(self):
+        """Add the messages since the last update; later ones are at least 1 microsecond newer."""
+        for number, proxy in self.host.assigner.state.proxies.items():
+            self.times[number] += [at for at in proxy.message_times if at > self.updated_at]
+        self.updated_at = self.host.clock
+        self.host.run(1 / SECOND)
+
+    def most_within(self, span):
+        """Return the largest number of messages to one proxy within any span."""
+        return max(
+            sum(first <= at <= first + span for at in times)
+            for times in self.times.values()
+            for first in times
+        )
+
+
+class MassReplacementTest(unittest.TestCase):
+    """Drains while six in ten servers are replaced within 7 s."""
+
+    SERVERS = 40
+    REPLACED = 24
+    REPLACED_WITHIN = 7 * SECOND
+    PROXIES = 24
+    MAX_MESSAGES = 20
+
+    def start(self, drain_grace):
+        """Return a host with warm servers in three zones, some time after its proxies joined."""
+        host = RecordingHost(
+            deployment_settings(
+                zone_count=3,
+                proxy_count=self.PROXIES,
+                lines_per_second=1450,
+                max_waiting_lines=1450,
+                max_messages=self.MAX_MESSAGES,
+                drain_grace=drain_grace,
+            )
+        )
+        host.clock = 60 * SECOND
+        host.start(fleet_in_zones(self.SERVERS, 3), proxies=self.PROXIES, rate=4.0, zones=3)
+        host.run(11)
+        return host
+
+    def replace_servers(self, host):
+        """Replace servers one by one; return when each was told to drain, by its index.
+
+        Checks that no proxy gets more messages than allowed in any span of the limit.
+        """
+        told_at = {}
+        messages = MessageLog(host)
+        for index in range(self.REPLACED):
+            told_at[index] = host.clock
+            host.update_servers(
+                server(index, ServerState.DRAINING, zone=index % 3),
+                server(self.SERVERS + index, zone=index % 3, started=host.clock),
+            )
+            host.run(self.REPLACED_WITHIN / self.REPLACED / SECOND)
+            messages.update()
+        for _ in range(10):
+            host.run(1)
+            messages.update()
+        self.assertLessEqual(messages.most_within(10 * SECOND), self.MAX_MESSAGES)
+        return told_at
+
+    def test_each_drain_leaves_in_time_and_within_the_message_limit(self):
+        """Guards against review/3: messages spent on the first drains delayed the last ones."""
+        for drain_grace in (2 * SECOND, 3 * SECOND):
+            with self.subTest(drain_grace=drain_grace):
+                host = self.start(drain_grace)
+                told_at = self.replace_servers(host)
+                latest = drain_grace - host.assigner.settings.channel.max_delivery_delay
+                ejected_at = host.times_of("eject server")
+                self.assertEqual(ejected_at.keys(), told_at.keys())
+                for index, at in told_at.items():
+                    self.assertLessEqual(ejected_at[index] - at, latest, f"server {index}")
+
+    def test_single_drains_are_ordered_at_once(self):
+        """With few drains, none waits to be sent together with others."""
+        host = RecordingHost(deployment_settings(max_messages=self.MAX_MESSAGES))
+        host.start(fleet(12))
+        host.run(11)
+        for index in range(4):
+            host.update_servers(server(index, ServerState.DRAINING))
+            self.assertIn(index, host.assigner.state.ejected)
+            host.run(0.3)
+
+
 class JoinTest(unittest.TestCase):
     """The assignment of tables to proxies that join."""
 
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -179,6 +179,15 @@
                 self.assigner.on_timer(token)
         self.clock = end
 
+    def times_of(self, call):
+        """Return when a recorded call was first made for each server or proxy, by its number."""
+        times = {}
+        for line in self.recorded:
+            at, _, text = line.strip().partition("  ")
+            if text.startswith(f"{call} "):
+                times.setdefault(int(text.removeprefix(f"{call} ")), round(float(at) * SECOND))
+        return times
+
     def report(
         self,
         took=lambda index: 200_000,
