--- a/indigodeck/edge/connecting.py
+++ b/indigodeck/edge/connecting.py
@@ -20,6 +20,7 @@
 from .messages import Address
 
 MAX_LINE_BYTES = 1 << 20  # one message per line
+CONNECT_TIMEOUT = SECOND // 2
 MIN_BACKOFF = 50_000
 MAX_BACKOFF = SECOND
 CONNECTION_ERRORS = (OSError, StreamClosedError, DeadlineExceededError)
--- a/indigodeck/edge/discovery.py
+++ b/indigodeck/edge/discovery.py
@@ -16,7 +16,13 @@
 from ..errors import MalformedMessageError
 from ..planner.host_client import authority
 from .codec import MessageCodec
-from .connecting import CONNECTION_ERRORS, Backoff, NumericResolver, keep_running
+from .connecting import (
+    CONNECT_TIMEOUT,
+    CONNECTION_ERRORS,
+    Backoff,
+    NumericResolver,
+    keep_running,
+)
 from .event_log import EventLog
 from .json_fields import read_object
 from .messages import Address, EndpointList
@@ -110,7 +116,7 @@
             timeout += POLL_WAIT
         request = HTTPRequest(
             f"http://{authority(self._address)}{PATH}{query}",
-            connect_timeout=RESPONSE_TIMEOUT / SECOND,
+            connect_timeout=CONNECT_TIMEOUT / SECOND,
             request_timeout=timeout / SECOND,
         )
         response = await self._client.fetch(request)
--- a/indigodeck/edge/relay_client.py
+++ b/indigodeck/edge/relay_client.py
@@ -15,16 +15,22 @@
 from ..errors import MalformedMessageError
 from .assigner_host import EdgeAssignerHost
 from .codec import MessageCodec
-from .connecting import CONNECTION_ERRORS, Backoff, connect, keep_running, read_line, with_deadline
+from .connecting import (
+    CONNECT_TIMEOUT,
+    CONNECTION_ERRORS,
+    Backoff,
+    connect,
+    keep_running,
+    read_line,
+    with_deadline,
+)
 from .event_log import EventLog
 from .membership import ProxyMembership
 from .messages import Address
 from .outbox import Outbox
 from .relay_protocol import Event, EventKind, read_event, subscribe_call
 
-CONNECT_TIMEOUT = SECOND // 2
-# The relay answers within 50 ms or never; the rest allows for stalls of this planner.
-RESPONSE_TIMEOUT = SECOND // 5
+RESPONSE_TIMEOUT = SECOND // 10  # the relay answers within half of this or never
 # The relay closes idle connections; a call sent at that moment is lost.
 MAX_IDLE_TIME = SECOND
 EVENT_TIMEOUT = 3 * SECOND  # heartbeats arrive every second
