--- a/indigodeck/assignment/delivery.py
+++ b/indigodeck/assignment/delivery.py
@@ -265,7 +265,8 @@
         channel = settings.channel
         spare_time = (settings.drain_grace - channel.max_delivery_delay) // 2
         messages_per_window = max(1, channel.max_messages - RESERVE_AFTER_EJECTION - 1)
-        return max(spare_time, ceil(channel.message_window / messages_per_window))
+        sustainable_interval = ceil(channel.message_window / messages_per_window)
+        return max(1, spare_time, sustainable_interval)
 
 
 def _level_differs(level: float, published: float | None) -> bool:
--- a/tests/assignment/test_delivery.py
+++ b/tests/assignment/test_delivery.py
@@ -152,6 +152,16 @@
                 for index, at in told_at.items():
                     self.assertLessEqual(ejected_at[index] - at, latest, f"server {index}")
 
+    def test_settings_without_any_grace_or_span_keep_the_updates_running(self):
+        """The interval of ejections never gets down to zero."""
+        host = RecordingHost(
+            deployment_settings(max_messages=self.MAX_MESSAGES, message_window=0, drain_grace=0)
+        )
+        host.start(fleet())
+        host.update_servers(server(3, ServerState.DRAINING))
+        host.update_servers(server(4, ServerState.DRAINING))
+        self.assertEqual(host.assigner.state.ejected, {3, 4})
+
     def test_single_drains_are_ordered_at_once(self):
         """With few drains, none waits to be sent together with others."""
         host = RecordingHost(deployment_settings(max_messages=self.MAX_MESSAGES))
