--- a/review/platform_2/world.py
+++ b/review/platform_2/world.py
@@ -122,6 +122,47 @@
     }
 
 
+def harbour_settings(**domain):
+    """Return settings like those of the small deployment `harbour-quays`."""
+    settings = default_settings(
+        **{
+            "choice": "pair",
+            "classOwnZone": [False, True, False],
+            "hearsPerS": 60.0,
+            "linesPerS": 800.0,
+            "mostWaiting": 1200.0,
+            "pushesAllowed": 14,
+            "writers": [False, True, True],
+            **domain,
+        }
+    )
+    first = settings["classes"][0]
+    settings["classes"] = [
+        {**first, "name": "tide-query", "aimMs": 700.0, "deadlineMs": 2200.0},
+        {
+            **settings["classes"][1],
+            "name": "mooring",
+            "aimMs": 900.0,
+            "deadlineMs": 2600.0,
+            "keyTtlMs": 3000.0,
+            "points": 4.0,
+        },
+        {
+            **first,
+            "name": "toll",
+            "aimMs": 1100.0,
+            "effect": "non_idempotent",
+            "lateWorth": 0.15,
+            "points": 2.0,
+        },
+    ]
+    settings["limits"]["probes"] = False
+    settings["loadInfo"] = {"columns": [], "how": "off"}
+    settings["rules"].update(drainGraceMs=2500.0, drainBindsAlone=True, tipMultiple=3.0)
+    settings["zones"] = ["north-quay", "south-quay", "dry-dock", "lock"]
+    return settings
+
+
 @dataclass
 class Server:
     """A server: `state` is what discovery lists, `alive` whether its process answers."""
@@ -191,10 +232,12 @@
         self.waits_until = 0.0  # time limits wait until then
         self.waits = []  # the spans in which time limits waited
         self.subscriptions = []
+        self.silent = set()  # subscriptions that say nothing any more
         self.call_connections = set()
         self._reset_instance()
         self.delivered_to = time.monotonic()
         self.peak_waiting = 0.0
+        self.lines_ordered = 0.0
         self.peak_messages = 0
         self.calls = 0
         # Discovery.
@@ -471,7 +514,8 @@
 
     def _publish(self, method, params):
         for writer in self.subscriptions:
-            _send(writer, _event(method, params))
+            if writer not in self.silent:
+                _send(writer, _event(method, params))
 
     def join(self, proxy):
         """Let a proxy's stream to this planner be established."""
@@ -542,6 +586,7 @@
             if proxy.bound:
                 steps.append(("withdrawn", set(self.ejected)))
             self._deliver_due()
+            self.lines_ordered += cost
             self.channel.append(Message(proxy, proxy.join_count, cost, now, steps, numbers))
             self._count_message(proxy, now)
         waiting = self.waiting()
@@ -763,7 +808,8 @@
 
     def _check_drain(self, proxy, name, now):
         state, told_at = self.told.get(name, ("", 0.0))
-        if state not in ("DRAINING", "DELETED") or not proxy.joined:
+        binding = ("DRAINING",) if self.rules.get("drainBindsAlone") else ("DRAINING", "DELETED")
+        if state not in binding or not proxy.joined:
             return
         start = self._limit_start(max(told_at, proxy.joined_at))
         grace = self.rules["drainGraceMs"] / 1000 + SLACK
@@ -771,7 +817,8 @@
             self.breaks(
                 "drain",
                 f"proxy {proxy.number} sent to {name}, {state}, {now - told_at:.2f} s after the"
-                f" planner was told and {now - proxy.joined_at:.2f} s after its joining",
+                f" planner was told and {now - proxy.joined_at:.2f} s after its joining;"
+                f" {self.waiting():.0f} lines wait in the channel",
             )
 
     def _check_bare(self, proxy, index, now):
@@ -792,7 +839,7 @@
             self.breaks(
                 "no server left",
                 f"proxy {proxy.number} has had no line for {self.classes[index]['name']} for"
-                f" {now - start:.2f} s",
+                f" {now - start:.2f} s; {self.waiting():.0f} lines wait in the channel",
             )
             proxy.bare_since[index] = now + 1e9
 
@@ -861,7 +908,7 @@
                 else 0.0,
                 "span_ms": span_ms,
             }
-            if failed < tries:
+            if failed < tries and self.settings["loadInfo"]["how"] == "inline":
                 line["load"] = {"inflight": 2}
             lines.append(line)
         return lines
@@ -909,6 +956,8 @@
             f"calls {self.calls}, most lines waiting {self.peak_waiting:.0f} of"
             f" {self.domain['mostWaiting']:.0f}, most messages to a proxy {self.peak_messages}"
             f" of {self.domain['pushesAllowed']}",
+            f"lines ordered {self.lines_ordered:.0f}, the channel sends"
+            f" {self.now() * self.domain['linesPerS']:.0f} in this time",
             f"breaks {len(self.broken)}: "
             + (", ".join(sorted({rule for rule, _ in self.broken})) or "none"),
         ]
