--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""Case 9: during a rolling deploy no new server enters the tables until they are empty."""
+"""Case 9: a call whose answer is lost is repeated, and its lines wait in the channel twice."""
 
 import asyncio
 import pathlib
@@ -8,47 +8,32 @@
 
 from platform_2 import fleet, play, world
 
-PROXIES = 100  # the pages: 150, and all may come to one planner
-SERVERS = 18
-CALM = 8
-REPLACED = 17  # the pages: up to 98%
-SPAN = 20  # the pages: within 20 to 37 s
-DRAINING = 1.5  # a server finishes its work before it ends
-STARTING = 0.5  # until its successor is listed
-WATCHED = 15
+PROXIES = 150
+SERVERS = 30
+ANSWERS_LOST = 1.0  # seconds; the pages: answers get lost for 6 s
+WATCHED = 8
 
 
 def make_world():
     """Return the world of a planner that has all proxies."""
-    settings = world.harbour_settings(proxies=PROXIES)
-    servers = fleet.make_servers(SERVERS, 4)
-    proxies = fleet.make_proxies(PROXIES, 4, servers, [1.0, 0.5, 0.3])
+    settings = world.default_settings(proxies=PROXIES)
+    servers = fleet.make_servers(SERVERS, 2)
+    proxies = fleet.make_proxies(PROXIES, 2, servers, [1.0, 0.5])
     return world.World(settings, servers, proxies)
 
 
-async def replace(platform, server):
-    """Drain a server, end it, and list its successor under a new id."""
-    platform.drain(server)
-    await asyncio.sleep(DRAINING)
-    platform.remove(server)
-    await asyncio.sleep(STARTING)
-    platform.add(world.Server(f"{server.name}-2", server.zone, fleet.just_now_ms()))
-
-
 async def course(platform):
-    """Replace nearly all servers, one after the other; without trouble, nothing happens."""
+    """Join all proxies; with trouble, the relay's first answers never come."""
     platform.start_planner()
     await platform.planner_ready()
     platform.start_traffic()
+    if play.trouble():
+        lost_until = platform.now() + ANSWERS_LOST
+        platform.call_fault = lambda: "lost" if platform.now() < lost_until else None
     for proxy in platform.proxies:
         platform.join(proxy)
-    await asyncio.sleep(CALM)
-    for server in list(platform.servers.values())[:REPLACED]:
-        if play.trouble():
-            platform.tasks.append(asyncio.create_task(replace(platform, server)))
-        await asyncio.sleep(SPAN / REPLACED)
     await asyncio.sleep(WATCHED)
 
 
 if __name__ == "__main__":
-    play.run(__file__, ["no server left"], make_world, course)
+    play.run(__file__, ["queue"], make_world, course)
--- a/review/platform_2/world.py
+++ b/review/platform_2/world.py
@@ -188,6 +188,7 @@
     ordered: bool = False  # it holds a table that was ordered
     joined_at: float = 0.0
     join_count: int = 0
+    next_arrival: float = 0.0
     bound: dict = field(default_factory=dict)  # class to table, as the relay has bound it
     lines: list = field(default_factory=list)  # by class: server to weight
     withdrawn: set = field(default_factory=set)
@@ -242,6 +243,7 @@
         self.calls = 0
         # Discovery.
         self.version = 1
+        self.hidden = set()  # servers that discovery calls gone, though they run
         self.changes = []  # (version, entry)
         self.changed = asyncio.Event()
         self.told = {}  # server to (state, since when it was told)
@@ -395,7 +397,9 @@
 
     def entries(self):
         """Return the whole list."""
-        return [self.entry(server) for server in self.servers.values()]
+        return [
+            self.entry(server) for server in self.servers.values() if server.name not in self.hidden
+        ]
 
     def change(self, *entries):
         """Make discovery tell these entries as changes."""
@@ -405,6 +409,22 @@
             self.note(f"discovery: {entry['host']} {entry['health']} born {entry['born_ms']}")
         self.changed.set()
 
+    def hide(self, servers):
+        """Make discovery call servers gone in one change, though they run."""
+        self.hidden = {server.name for server in servers}
+        self._change_together([self.entry(server, "DELETED") for server in servers])
+
+    def unhide(self, servers):
+        """Make discovery list these servers again, in one change."""
+        self.hidden = set()
+        self._change_together([self.entry(server) for server in servers])
+
+    def _change_together(self, entries):
+        self.version += 1
+        self.changes += [(self.version, entry) for entry in entries]
+        self.note(f"discovery: {len(entries)} entries changed")
+        self.changed.set()
+
     def drain(self, server):
         """List a server as draining."""
         server.state = "DRAINING"
@@ -699,6 +719,7 @@
 
     def _deliver_due(self):
         now = time.monotonic()
+        loop = asyncio.get_running_loop()
         sent = (now - self.delivered_to) * self.domain["linesPerS"]
         self.delivered_to = now
         if not self.channel:
@@ -709,7 +730,9 @@
             message = self.channel.popleft()
             self.head_sent -= message.cost
             delay = self.random.uniform(0.5, 1.5) * self.domain["transitMs"] / 1000
-            asyncio.get_running_loop().call_later(delay, self._arrive, message)
+            # Messages reach a proxy in order.
+            message.proxy.next_arrival = max(message.proxy.next_arrival + 1e-6, now + delay)
+            loop.call_at(message.proxy.next_arrival, self._arrive, message)
         if not self.channel:
             self.head_sent = 0.0
 
