--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,63 +1,51 @@
-"""Case 6: after a zone's loss with its planner, the planner applies no change of the list."""
+"""Case 6: a slice gets a new owner while a cut-off proxy still writes to the former one."""
 
 import asyncio
 import pathlib
+import struct
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from platform_2 import fleet, play, world
+from platform_2 import play, slices, world
 
-PLANNERS = 2
-PROXIES = 150  # of both planners; this one has those of its zone
-SERVERS = 30
-CALM = 8
-PLANNER_AWAY = 1
-ZONE_AWAY = 10  # the pages: 10 to 23 s
-LISTED_AFTER = 0.5  # the pages: a start is listed after 0.21 to 2.4 s
-DRAIN_AFTER = 1.5  # after the zone's return is listed
-DRAINED = 3  # a tenth of the fleet
-WATCHED = 15
+SERVERS = 6
+PROXIES = 6
+SLICES = 8
+WRITE_GAP = 0.05
+CALM = 3
+CUT_BEFORE = 0.3  # the stream breaks so long before the server is listed as draining
+NOTICED_AFTER = 0.6  # the pages: a broken stream is noticed after 540 to 1800 ms
+DIALS_AFTER = 1.5  # the pages: dials again within 1.1 to 2.4 s of noticing
+WATCHED = 6
 
 
 def make_world():
-    """Return the world of a planner of the zone `upper`, one of two."""
-    settings = world.default_settings(proxies=PROXIES)
-    settings["nInstances"] = PLANNERS
-    servers = fleet.make_servers(SERVERS, 2)
-    proxies = fleet.make_proxies(PROXIES, 2, servers, [1.0, 0.5])
-    return world.World(settings, servers, [proxy for proxy in proxies if proxy.zone == 0])
+    """Return the world of one instance that has all slices, each with a single owner."""
+    settings = world.default_settings(
+        classOwnZone=[False], exclusive=True, keyRanges=SLICES, proxies=PROXIES, writers=[True]
+    )
+    settings["classes"] = [{**settings["classes"][1], "dedupScope": "all"}]
+    settings["zones"] = ["upper"]
+    servers = [
+        bytes([127, 0, 0, number]) + struct.pack("<H", 7000) for number in range(1, SERVERS + 1)
+    ]
+    return slices.SliceWorld(settings, servers, SLICES, PROXIES, WRITE_GAP)
 
 
 async def course(platform):
-    """Lose the zone with its planner, bring both back, then drain three of the zone's servers."""
-    platform.start_planner()
-    await platform.planner_ready()
-    platform.start_traffic()
+    """Drain the owner of two slices; with trouble, one proxy's stream breaks just before."""
     for proxy in platform.proxies:
-        platform.join(proxy)
+        platform.attach(proxy, fresh=True)
+    platform.tasks.append(asyncio.create_task(platform.run_writes()))
     await asyncio.sleep(CALM)
-    zone = [server for server in platform.servers.values() if server.zone == 0]
     if play.trouble():
-        platform.note("zone upper is lost, with its planner")
-        for server in zone:
-            server.alive = False
-        platform.kill_planner()
-        await asyncio.sleep(PLANNER_AWAY)
-        await platform.restart_planner()
-        await asyncio.sleep(ZONE_AWAY - PLANNER_AWAY)
-        platform.note("zone upper is back, cold")
-        for server in zone:
-            server.alive = True
-            server.born_ms = fleet.just_now_ms()
-        await asyncio.sleep(LISTED_AFTER)
-        for server in zone:
-            platform.change(platform.entry(server))
-    await asyncio.sleep(DRAIN_AFTER)
-    for server in zone[:DRAINED]:
-        platform.drain(server)
+        cut = platform.cut(platform.proxies[-1], NOTICED_AFTER, DIALS_AFTER)
+        platform.tasks.append(asyncio.create_task(cut))
+    await asyncio.sleep(CUT_BEFORE)
+    platform.drain(platform.servers[0])
     await asyncio.sleep(WATCHED)
 
 
 if __name__ == "__main__":
-    play.run(__file__, ["drain"], make_world, course)
+    play.run(__file__, ["owner"], make_world, course)
--- a/review/platform_2/play.py
+++ b/review/platform_2/play.py
@@ -45,7 +45,7 @@
         world.expect_alive = False
         for task in world.tasks:
             task.cancel()
-        world.stop_planner()
+        await world.stop()
     failed_tasks = [
         repr(task.exception())
         for task in world.tasks
--- a/review/platform_2/world.py
+++ b/review/platform_2/world.py
@@ -344,6 +344,10 @@
             self.planner.wait(10)
             self.note(f"planner ended, code {self.planner.returncode}")
 
+    async def stop(self):
+        """End the planner at the end of the play."""
+        self.stop_planner()
+
     def planner_died(self):
         """Withdraw all that the relay held for the planner; proxies keep what they have."""
         for writer in self.subscriptions + list(self.call_connections):
