--- a/review/platform_2/world.py
+++ b/review/platform_2/world.py
@@ -23,6 +23,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 SLACK = 0.3  # the protocol page: time limits run this much longer on sockets
 SILENT_CALL_WAIT = 1.5  # the protocol page: time limits wait so long after a silent call
+NEWS_WAIT = 4.0  # the protocol page: and so long after the relay has broken off all its news
 READY_WAIT = 1.0  # time limits begin no sooner than this after the planner's first answer
 PLANNER_READY_LIMIT = 30
 TICK = 0.02
@@ -371,7 +372,7 @@
         self.start_planner()
         await self.planner_ready()
         self.expect_alive = True
-        self.tasks += [asyncio.create_task(self._dial(proxy)) for proxy in self.proxies]
+        self.dial_all()
 
     async def _dial(self, proxy):
         await asyncio.sleep(self.random.uniform(*REDIAL))
@@ -559,6 +560,20 @@
             proxy.bound = {}
             self._publish("bye", {"proxy": proxy.number})
 
+    def cut_off(self):
+        """Reset the planner's connections at the relay and break the streams of all its proxies."""
+        now = time.monotonic()
+        self.waits.append((now, now + NEWS_WAIT))
+        for writer in [*self.subscriptions, *self.call_connections]:
+            writer.transport.abort()
+        self.subscriptions = []
+        for proxy in self.proxies:
+            self.leave(proxy)
+
+    def dial_all(self):
+        """Let all proxies dial the planner."""
+        self.tasks += [asyncio.create_task(self._dial(proxy)) for proxy in self.proxies]
+
     async def rejoin(self, proxy):
         """Break a proxy's stream; it dials again after the time that the pages state."""
         self.leave(proxy)
