--- a/review/platform_2/play.py
+++ b/review/platform_2/play.py
@@ -3,13 +3,15 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import traceback
 
 from .world import CannotRunError
 
-TIME_LIMIT = 110
+TIME_LIMIT = 100
+COULD_NOT_RUN = 2
 MAX_RECORD_LINES = 4000
 
 
@@ -25,13 +27,19 @@
     """
     folder = pathlib.Path(case_file).resolve().parent
     with tempfile.TemporaryDirectory() as scratch:
-        code, lines = asyncio.run(_run(rules, make_world, play, scratch))
+        try:
+            code, lines = asyncio.run(_run(rules, make_world, play, scratch))
+        except asyncio.CancelledError:
+            sys.exit(COULD_NOT_RUN)
     (folder / "record.txt").write_text("\n".join(lines) + "\n")
     print("\n".join(lines[-6:]))
     sys.exit(code)
 
 
 async def _run(rules, make_world, play, scratch):
+    # Ended from outside, it still ends the processes that it started.
+    main_task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, main_task.cancel)
     world = make_world()
     error = None
     try:
@@ -62,6 +70,6 @@
     lines += world.summary()
     if error or failed_tasks:
         lines.append(f"could not run: {error or failed_tasks}")
-        return 2, lines
+        return COULD_NOT_RUN, lines
     lines.append(f"result: {'broken: ' + broken[0] if broken else 'the rule held'}")
     return (1 if broken else 0), lines
--- a/review/platform_2/slices.py
+++ b/review/platform_2/slices.py
@@ -264,9 +264,13 @@
 
     async def run_writes(self):
         """Let each proxy write to each slice again and again."""
+        noted_at = 0.0
         while True:
             await asyncio.sleep(self.write_gap)
             now = time.monotonic()
+            if now - noted_at > 1:
+                noted_at = now
+                self.note(f"writes so far: {self.writes} sent and run")
             for proxy in self.proxies:
                 if proxy.writes_until is not None and now > proxy.writes_until:
                     continue  # it may write no more until it has read the store
--- a/review/platform_2/world.py
+++ b/review/platform_2/world.py
@@ -961,6 +961,12 @@
         while True:
             await asyncio.sleep(1)
             self._publish("ping", {})
+            self.note(
+                f"requests so far: {self.sent} sent, {self.answered} answered,"
+                f" {self.failed} failed, {self.refused} refused; proxies joined"
+                f" {sum(proxy.joined for proxy in self.proxies)}, with a table"
+                f" {sum(bool(proxy.bound) for proxy in self.proxies)}"
+            )
 
     async def start(self, folder):
         """Open the platform's sockets and start clients and collectors."""
