--- a/indigodeck/edge/membership.py
+++ b/indigodeck/edge/membership.py
@@ -4,10 +4,12 @@
 A connection may break at any point, or lag behind the others. The joins of each proxy are numbered,
 and for each connection it is recorded which join of a proxy it has reported last. So a join that
 two connections report is handled once, and while one connection lasts, another can reconnect
-without its proxies being treated as newly joined. Times are whole microseconds.
+without its proxies being treated as newly joined. A connection proves only that the proxies which
+it has reported itself are joined: it may have opened after a gap in which others left. Times are
+whole microseconds.
 """
 
-from collections.abc import Callable, Hashable, Set
+from collections.abc import Callable, Hashable, Iterable, Set
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -62,8 +64,8 @@
             return
         view.complete = True
         view.join_numbers = {**self._join_numbers, **view.join_numbers}
-        if not self._other_live_views(connection):
-            self._record_leave(self._joined - view.joined.keys())
+        reporting = [view, *self._other_live_views(connection)]
+        self._record_leave(self._joined - _reported_as_joined(reporting))
 
     def is_complete(self, connection: Hashable) -> bool:
         """Return whether a connection has reported all proxies that were joined when it opened."""
@@ -106,7 +108,7 @@
         complete = [view for view in self.views.values() if view.complete]
         if not complete:
             return
-        self._record_leave(self._joined - set().union(*(view.joined for view in complete)))
+        self._record_leave(self._joined - _reported_as_joined(complete))
         for view in complete:
             for proxy in sorted(view.joined.keys() - self._joined):
                 known_number = self._join_numbers.get(proxy, 0)
@@ -136,3 +138,7 @@
         for proxy in sorted(proxies & self._joined):
             self._joined.discard(proxy)
             self._listener.on_proxy_left(proxy)
+
+
+def _reported_as_joined(views: Iterable[ConnectionView]) -> set[int]:
+    return set().union(*(view.joined for view in views))
--- a/tests/edge/test_membership.py
+++ b/tests/edge/test_membership.py
@@ -85,6 +85,33 @@
             self.take_events(), [("left", 2), ("joined", 2), ("joined", 3), ("left", 1)]
         )
 
+    def test_new_connections_after_a_gap_do_not_vouch_for_departed_proxies(self):
+        """Guards against review/10: two connections opened after a gap vouched for each other."""
+        self.connect("A", 1, 2, 3)
+        self.connect("B", 1, 2, 3)
+        self.take_events()
+        self.membership.on_disconnected("A")
+        self.membership.on_disconnected("B")
+        for connection in "AB":
+            self.membership.on_connected(connection)
+            self.membership.on_proxy_joined(connection, ProxyJoined(3, 0, 1.0, False))
+        self.membership.on_heartbeat("A")
+        self.assertEqual(self.take_events(), [("left", 3), ("joined", 3), ("left", 1), ("left", 2)])
+        self.membership.on_heartbeat("B")
+        self.assertEqual(self.take_events(), [])
+
+    def test_a_join_reported_first_by_a_connection_still_opening_is_kept(self):
+        """After a gap, one of the new connections may be behind the other."""
+        self.connect("A", 1)
+        self.take_events()
+        self.membership.on_disconnected("A")
+        self.membership.on_connected("B")
+        self.membership.on_proxy_joined("B", ProxyJoined(2, 0, 1.0, False))
+        self.connect("A")
+        self.assertEqual(self.take_events(), [("joined", 2), ("left", 1)])
+        self.membership.on_proxy_left("B", 2)
+        self.assertEqual(self.take_events(), [("left", 2)])
+
     def test_a_silent_connection_counts_as_a_gap(self):
         """A connection without heartbeats does not prove that its proxies are still joined."""
         self.connect("A", 1)
@@ -117,7 +144,9 @@
     @given(
         st.lists(
             st.tuples(
-                st.sampled_from(["turn", "break", "ping"]), st.integers(0, 3), st.sampled_from("AB")
+                st.sampled_from(["turn", "break", "open", "ping"]),
+                st.integers(0, 3),
+                st.sampled_from("AB"),
             ),
             max_size=40,
         )
@@ -128,8 +157,14 @@
         self.clock = 0
         membership = ProxyMembership(self, lambda: self.clock)
         joined = set()
-        for connection in "AB":
+
+        def open_connection(connection):
             membership.on_connected(connection)
+            for proxy in sorted(joined):
+                membership.on_proxy_joined(connection, ProxyJoined(proxy, 0, 1.0, False))
+
+        for connection in "AB":
+            open_connection(connection)
         for kind, proxy, connection in steps:
             self.clock += SECOND // 10
             if kind == "turn":
@@ -139,14 +174,15 @@
                         membership.on_proxy_joined(other, ProxyJoined(proxy, 0, 1.0, True))
                     else:
                         membership.on_proxy_left(other, proxy)
+            elif kind == "break":
+                membership.on_disconnected(connection)
+            elif connection not in membership.views:
+                open_connection(connection)
             elif kind == "ping":
                 membership.on_heartbeat(connection)
-            else:
-                membership.on_disconnected(connection)
-                membership.on_connected(connection)
-                for joined_proxy in sorted(joined):
-                    membership.on_proxy_joined(connection, ProxyJoined(joined_proxy, 0, 1.0, False))
         for connection in "AB":
+            if connection not in membership.views:
+                open_connection(connection)
             membership.on_heartbeat(connection)
         notified = set()
         for kind, proxy in self.events:
