--- a/tests/edge/test_membership.py
+++ b/tests/edge/test_membership.py
@@ -10,6 +10,43 @@
 from indigodeck.edge.messages import ProxyJoined
 
 
+class SteppedRelay:
+    """Reports joins and departures on all open connections, one step at a time."""
+
+    def __init__(self, membership):
+        self.membership = membership
+        self.joined = set()
+
+    def open(self, connection):
+        """Open a connection, unless it is open; it reports the proxies that are joined."""
+        if connection in self.membership.views:
+            return
+        self.membership.on_connected(connection)
+        for proxy in sorted(self.joined):
+            self.membership.on_proxy_joined(connection, ProxyJoined(proxy, 0, 1.0, False))
+
+    def turn(self, proxy):
+        """Let a proxy leave if it is joined, else join."""
+        self.joined ^= {proxy}
+        for connection in self.membership.views:
+            if proxy in self.joined:
+                joined = ProxyJoined(proxy, 0, 1.0, True)
+                self.membership.on_proxy_joined(connection, joined)
+            else:
+                self.membership.on_proxy_left(connection, proxy)
+
+    def play(self, kind, proxy, connection):
+        """Play one step; `proxy` matters only for a turn, `connection` for the other kinds."""
+        if kind == "turn":
+            self.turn(proxy)
+        elif kind == "break":
+            self.membership.on_disconnected(connection)
+        elif connection not in self.membership.views:
+            self.open(connection)
+        elif kind == "ping":
+            self.membership.on_heartbeat(connection)
+
+
 class ProxyMembershipTest(unittest.TestCase):
     """Connections lag, break, fall silent and reconnect; the test itself is the listener."""
 
@@ -155,37 +192,17 @@
         """With breaks at any point, the listener ends with the proxies joined to the relay."""
         self.events = []
         self.clock = 0
-        membership = ProxyMembership(self, lambda: self.clock)
-        joined = set()
-
-        def open_connection(connection):
-            membership.on_connected(connection)
-            for proxy in sorted(joined):
-                membership.on_proxy_joined(connection, ProxyJoined(proxy, 0, 1.0, False))
-
+        relay = SteppedRelay(ProxyMembership(self, lambda: self.clock))
         for connection in "AB":
-            open_connection(connection)
+            relay.open(connection)
         for kind, proxy, connection in steps:
             self.clock += SECOND // 10
-            if kind == "turn":
-                joined ^= {proxy}
-                for other in membership.views:
-                    if proxy in joined:
-                        membership.on_proxy_joined(other, ProxyJoined(proxy, 0, 1.0, True))
-                    else:
-                        membership.on_proxy_left(other, proxy)
-            elif kind == "break":
-                membership.on_disconnected(connection)
-            elif connection not in membership.views:
-                open_connection(connection)
-            elif kind == "ping":
-                membership.on_heartbeat(connection)
+            relay.play(kind, proxy, connection)
         for connection in "AB":
-            if connection not in membership.views:
-                open_connection(connection)
-            membership.on_heartbeat(connection)
+            relay.open(connection)
+            relay.membership.on_heartbeat(connection)
         notified = set()
         for kind, proxy in self.events:
             self.assertEqual(proxy in notified, kind == "left")
             notified ^= {proxy}
-        self.assertEqual(notified, joined)
+        self.assertEqual(notified, relay.joined)
