Requests that only departed proxies could acknowledge are dropped, not overdue for 20 s

Callers saw: proxies whose streams broke before they had acknowledged their orders got no tables for up to 20 s after their return, and went on with what they held.

A proxy that has left never answers, so the account was full while the channel was empty.

Change: each request keeps its recipients; one without any left is dropped.

Tests: one of the account and one of the decisions, both failed before (0 of 75 proxies assigned within 5 s).

--- a/indigodeck/assignment/assigner.py
+++ b/indigodeck/assignment/assigner.py
@@ -90,6 +90,7 @@
     def on_proxy_left(self, proxy: int) -> None:
         """Mark a proxy as departed; its demand still counts for a while."""
         self.state.proxies.leave(proxy, self.host.now())
+        self.state.channel.on_proxy_left(proxy)
         for table in self.state.tables:
             table.proxies.discard(proxy)
 
--- a/indigodeck/assignment/channel_account.py
+++ b/indigodeck/assignment/channel_account.py
@@ -17,12 +17,14 @@
     """A request for acknowledgement that has not been answered yet.
 
     The orders before it should be delivered within `expected_delay` microseconds. `lines_ordered`
-    is the total of all lines ordered up to the request.
+    is the total of all lines ordered up to the request. `recipients` are the proxies that can still
+    answer.
     """
 
     ordered_at: int
     expected_delay: float
     lines_ordered: float
+    recipients: set[int]
 
 
 class ChannelAccount:
@@ -116,14 +118,14 @@
         return True
 
     def new_ack_request(self, now: int) -> int:
-        """Register a request to acknowledge all orders so far, and return its number."""
+        """Register a request to acknowledge the orders of this call, and return its number."""
         self.last_ack_number = self.last_ack_number % MAX_ACK_NUMBER + 1
         expected_delay = (
             self.lines_waiting / self.settings.channel.lines_per_second * SECOND
             + self.settings.channel.max_delivery_delay
         )
         self.pending_acks[self.last_ack_number] = PendingAck(
-            now, expected_delay, self.lines_ordered
+            now, expected_delay, self.lines_ordered, set(self.call_recipients)
         )
         oldest = self.last_ack_number + MAX_ACK_NUMBER - MAX_PENDING_ACKS
         self.pending_acks.pop(oldest % (MAX_ACK_NUMBER + 1), None)
@@ -137,12 +139,23 @@
         """
         if number not in self.pending_acks:
             return
-        _, expected_delay, self.lines_delivered = self.pending_acks[number]
+        answered = self.pending_acks[number]
+        self.lines_delivered = answered.lines_ordered
         self.pending_acks = {
             other: pending
             for other, pending in self.pending_acks.items()
             if pending.lines_ordered > self.lines_delivered
         }
-        self.last_lateness = delay - expected_delay
+        self.last_lateness = delay - answered.expected_delay
         self.last_ack_at = now
-        self.throughput_ratio = max(MIN_THROUGHPUT_RATIO, min(1.0, expected_delay / max(delay, 1)))
+        self.throughput_ratio = max(
+            MIN_THROUGHPUT_RATIO, min(1.0, answered.expected_delay / max(delay, 1))
+        )
+
+    def on_proxy_left(self, proxy: int) -> None:
+        """Drop the requests that nobody can answer any more: they say nothing about the channel."""
+        for pending in self.pending_acks.values():
+            pending.recipients.discard(proxy)
+        self.pending_acks = {
+            number: pending for number, pending in self.pending_acks.items() if pending.recipients
+        }
--- a/tests/assignment/test_channel_account.py
+++ b/tests/assignment/test_channel_account.py
@@ -46,12 +46,24 @@
         self.assertEqual((channel.throughput_ratio, channel.lateness(6 * SECOND)), (1.0, 0))
 
     def test_unanswered_requests_expire(self):
-        """Lines for proxies that have left count as queued only until their request expires."""
+        """Lines without an answer count as queued only until their request expires."""
         channel = self.new_account()
         self.record_order(channel, 300, 0)
         self.assertEqual(channel.queued_lines(10 * SECOND), 300)
         self.assertEqual(channel.queued_lines(21 * SECOND), 0)
 
+    def test_requests_to_proxies_that_have_all_left_are_not_overdue(self):
+        """A request is void once none of its recipients can answer it; others stay."""
+        channel = self.new_account()
+        self.record_order(channel, 300, 0)
+        self.proxies[2] = Proxy(Locality(0, 0), 1.0, {})
+        channel.record_orders(self.proxies, {2}, 100, 0)
+        channel.new_ack_request(0)
+        channel.on_proxy_left(1)
+        self.assertEqual(channel.queued_lines(2 * SECOND), 400)
+        channel.on_proxy_left(2)
+        self.assertEqual(channel.queued_lines(2 * SECOND), 0)
+
     def test_feedback_delay_grows_with_lateness(self):
         """The time until reports can show an order's effect includes the lateness of orders."""
         host = RecordingHost()
--- a/tests/assignment/test_delivery.py
+++ b/tests/assignment/test_delivery.py
@@ -185,6 +185,31 @@
         self.assertEqual(len(assignments), 2 * 270)
         self.assertLess(len({words[6] for words in assignments}), 270 / 4)
 
+    def test_proxies_whose_streams_broke_before_they_acknowledged_get_tables_at_once(self):
+        """Guards against orders to departed proxies that count as waiting for 20 s."""
+        proxies = 75
+        host = RecordingHost(
+            deployment_settings(proxy_count=proxies, lines_per_second=1200, max_waiting_lines=1200)
+        )
+        host.clock = 60 * SECOND
+        host.start(fleet(30), proxies=proxies, rate=1.5)
+        host.run(10)
+        host.ack_delay = None
+        for index in range(4):
+            host.update_servers(server(index, ServerState.DRAINING))
+        for proxy in range(proxies):
+            host.assigner.on_proxy_left(proxy)
+        host.run(2)
+        host.ack_delay = SECOND // 5
+        host.recorded.clear()
+        rejoined_at = host.clock
+        for proxy in range(proxies):
+            host.assigner.on_proxy_joined(proxy, 0, 1.5, False)
+        host.run(5)
+        assigned_at = host.times_of("assign proxy")
+        self.assertEqual(len(assigned_at), proxies)
+        self.assertLess(max(assigned_at.values()) - rejoined_at, host.assigner.settings.drain_grace)
+
 
 class DepartedServerTest(unittest.TestCase):
     """The state of servers that are gone."""
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -185,7 +185,8 @@
         for line in self.recorded:
             at, _, text = line.strip().partition("  ")
             if text.startswith(f"{call} "):
-                times.setdefault(int(text.removeprefix(f"{call} ")), round(float(at) * SECOND))
+                number = text.removeprefix(f"{call} ").split()[0]
+                times.setdefault(int(number), round(float(at) * SECOND))
         return times
 
     def report(
