--- a/indigodeck/assignment/assigner.py
+++ b/indigodeck/assignment/assigner.py
@@ -89,8 +89,10 @@
 
     def on_proxy_left(self, proxy: int) -> None:
         """Mark a proxy as departed; its demand still counts for a while."""
-        self.state.proxies.leave(proxy, self.host.now())
+        now = self.host.now()
+        self.state.proxies.leave(proxy, now)
         self.state.channel.on_proxy_left(proxy)
+        self.key_ranges.write_leases.on_proxy_left(proxy, now)
         for table in self.state.tables:
             table.proxies.discard(proxy)
 
@@ -119,7 +121,9 @@
 
     def on_ack(self, proxy: int, number: int, delay: int) -> None:
         """Process a proxy's acknowledgement, sent `delay` microseconds after the orders."""
-        self.state.channel.on_ack(number, delay, self.host.now())
+        now = self.host.now()
+        self.state.channel.on_ack(number, delay, now)
+        self.key_ranges.write_leases.on_ack(proxy, number, now)
 
     def on_health_check(
         self, server: int, outcome: HealthCheckOutcome, duration: int, load: dict[str, float] | None
@@ -151,7 +155,7 @@
         self.subscription.on_timer(now, token)
         if token == Timer.TICK:
             self.host.start_timer(TICK_INTERVAL, Timer.TICK)
-        self.delivery.forget_departed(now)
+        self.delivery.forget_departed(now, self.key_ranges.servers_in_use())
         if self._evaluation_due(now):
             self._evaluate_reports(now)
         self.outliers.check_due_servers()
--- a/indigodeck/assignment/delivery.py
+++ b/indigodeck/assignment/delivery.py
@@ -5,7 +5,7 @@
 has room.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 from math import ceil
 from typing import NamedTuple
 
@@ -60,13 +60,21 @@
 
     def end_call(self) -> None:
         """Request an acknowledgement from the proxies that received orders in this call."""
+        if self.state.channel.call_recipients:
+            self.request_ack(all_proxies=False)
+
+    def request_ack(self, all_proxies: bool) -> int:
+        """Request an acknowledgement of this call's orders, and return the request's number.
+
+        With `all_proxies`, proxies that get no other order are asked too.
+        """
+        now = self.state.host.now()
         channel = self.state.channel
-        if channel.call_recipients:
-            channel.record_orders(
-                self.state.proxies, channel.call_recipients, 1, self.state.host.now()
-            )
-            number = channel.new_ack_request(self.state.host.now())
-            self.state.host.request_ack(number, False)
+        proxies = self.state.proxies.joined() if all_proxies else set(channel.call_recipients)
+        channel.record_orders(self.state.proxies, proxies, 1, now)
+        number = channel.new_ack_request(now)
+        self.state.host.request_ack(number, all_proxies)
+        return number
 
     def publish(self) -> None:
         """Send ejections and table changes, as far as the limits allow."""
@@ -91,7 +99,6 @@
         its own tables.
         """
         state = self.state
-        joined = state.proxies.joined()
         now = state.host.now()
         to_eject = state.health.keys() - ready.keys() - state.ejected
         to_uneject = state.ejected & ready.keys()
@@ -101,10 +108,8 @@
         }
         any_sent = False
         for server in sorted(due):
-            holders = joined.intersection(self.joining).union(
-                *(table.proxies for table in state.tables if server in table.published_weights)
-            )
-            if not self._within_message_limit(holders, RESERVE_AFTER_EJECTION):
+            holders = self._possible_holders(server)
+            if not self.may_send_ejection(holders):
                 self.delayed_since.setdefault(server, now)
                 continue
             self._log_delay(server, now)
@@ -118,6 +123,20 @@
             any_sent = True
         return any_sent
 
+    def may_send_ejection(self, proxies: Iterable[int]) -> bool:
+        """Return whether the message limit lets an ejection be sent to each of these proxies."""
+        return self._within_message_limit(proxies, RESERVE_AFTER_EJECTION)
+
+    def _possible_holders(self, server: int) -> set[int]:
+        """Return the joined proxies that hold a server in a table, or may hold it."""
+        state = self.state
+        joined = state.proxies.joined()
+        if state.settings.key_range_count:
+            return joined
+        return joined.intersection(self.joining).union(
+            *(table.proxies for table in state.tables if server in table.published_weights)
+        )
+
     def _log_delay(self, server: int, now: int) -> None:
         """Log how long an ejection, or its end, waited for the message limit, if it did."""
         delay = now - self.delayed_since.pop(server, now)
@@ -152,8 +171,8 @@
             channel.record_orders(state.proxies, {proxy}, lines, now)
         self.joining = still_waiting
 
-    def forget_departed(self, now: int) -> None:
-        """Forget ejected servers that have been gone for a while.
+    def forget_departed(self, now: int, in_use: Set[int]) -> None:
+        """Forget ejected servers that have been gone for a while and are not `in_use`.
 
         No table names them any more and no late report can, so that the state of a long-running
         planner does not grow with every server that ever existed.
@@ -161,7 +180,7 @@
         if self.joining:
             return
         state = self.state
-        for server in sorted(state.ejected - state.servers.keys()):
+        for server in sorted(state.ejected - state.servers.keys() - in_use):
             long_gone = now - state.health[server].next_check_at > DEPARTED_RETENTION
             if long_gone and not any(server in table.published_weights for table in state.tables):
                 state.ejected.remove(server)
--- a/indigodeck/assignment/key_ranges.py
+++ b/indigodeck/assignment/key_ranges.py
@@ -4,53 +4,85 @@
 from .interface import Server
 from .seeded_random import SeededRandom, seed_from
 from .state import AssignerState
+from .write_leases import WriteLeases
 
 
 class KeyRanges:
     """The key ranges that this planner assigns, and their servers.
 
-    `servers_of` holds the servers known to have each key range, by table number. Key ranges do not
-    move because of their demand.
+    `servers_of` holds the servers known to have each key range, by table number, and `assigned_at`
+    since when this planner assigns it. Key ranges do not move because of their demand.
     """
 
     def __init__(self, state: AssignerState, delivery: Delivery) -> None:
         self.state = state
         self.delivery = delivery
+        self.write_leases = WriteLeases(state)
         self.servers_of: dict[int, set[int]] = {}
+        self.assigned_at: dict[int, int] = {}
 
     def set_assigned(self, table: int, assigned: bool) -> None:
         """Start assigning a key range, without any known server, or stop assigning it."""
         self.servers_of.pop(table, None)
+        self.assigned_at.pop(table, None)
         if assigned:
             self.servers_of[table] = set()
+            self.assigned_at[table] = self.state.host.now()
 
     def add_server(self, table: int, server: int, weight: float) -> None:
-        """Record that a server holds a key range."""
+        """Record that a server holds a key range, and track its health even if it is not listed."""
         if table in self.servers_of and weight > 0:
             self.servers_of[table].add(server)
+            self.state.health[server]  # noqa: B018 - a defaultdict: creates the entry
+
+    def servers_in_use(self) -> set[int]:
+        """Return the servers that hold a key range."""
+        return set().union(*self.servers_of.values())
 
     def update(self) -> None:
         """Eject servers that are not ready, and move their key ranges to other servers."""
         now = self.state.host.now()
         ready = self.state.ready_servers()
+        # Proxies read their tables from the store, so none waits for this planner to assign them.
+        self.delivery.joining.clear()
+        ejected_before = set(self.state.ejected)
         self.delivery.update_ejections(ready)
+        self.write_leases.track(self.servers_in_use() & self.state.ejected, now)
+        self._inform_joined_proxies(self.state.ejected - ejected_before, now)
         ordered_servers = sorted(ready.values(), key=lambda server: server.stable_id)
         for table, servers in sorted(self.servers_of.items()):
-            if self._needs_server(servers, ready, now) and ordered_servers and self._has_room(now):
+            if servers & ready.keys() or not ordered_servers:
+                continue
+            if self._may_reassign(table, servers, now) and self._has_room(now):
                 self._reassign(table, servers, ordered_servers, now)
 
-    def _needs_server(self, servers: set[int], ready: dict[int, Server], now: int) -> bool:
-        handover_delay = self._handover_delay()
-        return not servers & ready.keys() and all(
-            now >= self.state.health[server].next_check_at + handover_delay for server in servers
-        )
+    def _inform_joined_proxies(self, newly_ejected: set[int], now: int) -> None:
+        """Repeat the ejections of servers in use for proxies that have joined since.
 
-    def _handover_delay(self) -> int:
-        """Return the delay after which no write can still reach the previous exclusive owner."""
-        settings = self.state.settings
-        if not settings.exclusive_ownership:
-            return 0
-        return 2 * settings.channel.max_delivery_delay + settings.write_settle_time
+        They read the former server from the store, and earlier orders have not reached them.
+        """
+        joined = self.state.proxies.joined()
+        any_sent = False
+        for owner in self.write_leases.owners:
+            if not self.write_leases.uninformed(owner):
+                continue
+            if owner not in newly_ejected:
+                if not self.delivery.may_send_ejection(joined):
+                    continue
+                self.state.host.eject_server(owner)
+                self.state.channel.record_orders(self.state.proxies, joined, 1, now)
+            self.write_leases.on_ejection_sent(owner, now)
+            any_sent = True
+        if any_sent and self.state.settings.exclusive_ownership:
+            number = self.delivery.request_ack(all_proxies=True)
+            self.write_leases.on_ack_requested(number, now)
+
+    def _may_reassign(self, table: int, servers: set[int], now: int) -> bool:
+        """Return whether no write can reach the previous servers if each has to be the only one."""
+        return not self.state.settings.exclusive_ownership or all(
+            self.write_leases.is_released(server, self.assigned_at[table], now)
+            for server in servers
+        )
 
     def _has_room(self, now: int) -> bool:
         return self.state.channel.queued_lines(now) < self.delivery.queue_limit()
--- a/indigodeck/settings.py
+++ b/indigodeck/settings.py
@@ -84,7 +84,8 @@
     less than `warm_up_time` ago is cold: it begins with `cold_capacity_share` of its capacity, and
     `overload_multiple` times its current capacity, held for `overload_time`, overloads it for good.
     If `removal_is_final`, a server listed as gone is gone even if it still answers. A write may
-    take effect up to `write_settle_time` after its key range has moved.
+    take effect up to `write_settle_time` after a proxy has sent it. With `exclusive_ownership`, a
+    proxy whose stream has broken goes on sending writes for `write_lease`.
     """
 
     classes: tuple[ClassSettings, ...]
@@ -104,6 +105,7 @@
     proxy_failure_limit: int = 0
     key_range_count: int = 0
     write_settle_time: int = 0
+    write_lease: int = 0
     # Wait before a retry after any failure, as a multiple of the latency objective.
     first_attempt_wait: float = 1
     worst_class_share: float = 0
@@ -207,6 +209,7 @@
         proxy_failure_limit=domain.number("strikes", 0),
         key_range_count=domain.number("keyRanges", 0),
         write_settle_time=domain.time("writeLifeMs", 0),
+        write_lease=domain.time("writeLeaseMs", 0),
         first_attempt_wait=domain.number("firstWait", 1),
         worst_class_share=blend.number("worstClass", 0),
         zone_names=zone_names,
