--- a/tests/assignment/test_write_leases.py
+++ b/tests/assignment/test_write_leases.py
@@ -3,10 +3,10 @@
 import random
 import unittest
 
+from edge.stand_ins import PLATFORM_SETTINGS
 from harness import RecordingHost, deployment_settings, server
 
 from assignment.scenarios import fleet
-from edge.stand_ins import PLATFORM_SETTINGS
 from indigodeck.assignment.interface import ServerState, UpdateKind
 from indigodeck.clock import MILLISECOND, SECOND
 from indigodeck.settings import settings_from_object
