--- a/indigodeck/assignment/admission.py
+++ b/indigodeck/assignment/admission.py
@@ -30,6 +30,7 @@
 # Of the highest rate that servers have sustained: slightly less, so that queues drain.
 SUSTAINABLE_RATE_FACTOR = 0.9
 COMPLETION_RATES_KEPT = 32
+PROVEN_RATE_RANK = 3  # among the completion rates kept, from the highest
 LATENCY_RATIOS_KEPT = 3
 UNKNOWN_LATENCY_RATIO = 9.0  # initial lowest ratio, above every ratio that occurs
 # Of the sustainable rate. When cuts subtracted the whole failure share, levels stayed low long
@@ -164,9 +165,10 @@
 
         This is the third highest of the recent rates. The latest rate would be wrong: an
         overloaded fleet completes less than it can, and cutting admission to that would never end
-        the overload.
+        the overload. It is 0 while nothing is proven.
         """
-        return sorted(self.completion_rates)[-min(3, len(self.completion_rates))]
+        highest = sorted(self.completion_rates, reverse=True)[:PROVEN_RATE_RANK]
+        return highest[-1] if highest else 0.0
 
     def is_saturated(self) -> bool:
         """Return whether admission is cut, or latencies stay well above the lowest seen."""
--- a/indigodeck/assignment/weights.py
+++ b/indigodeck/assignment/weights.py
@@ -60,12 +60,13 @@
     def _rate_per_weight(self, ready: dict[int, Server]) -> float:
         """Return the requests per second that a warm server is known to handle per unit of weight.
 
-        This is the rate that the fleet has recently completed. Before any report, it is half of
-        the rate that proxies declare: a planner may restart during an overload, when retries
-        inflate the declared rates.
+        This is the rate that the fleet has recently completed. Until it has proven any, it is half
+        of the rate that proxies declare: a planner may restart during an overload, when retries
+        inflate the declared rates, or during an outage, when reports show no completed request.
         """
-        if self.admission.fleet.completion_rates:
-            return self.admission.fleet.sustained_rate()
+        proven_rate = self.admission.fleet.sustained_rate()
+        if proven_rate > 0:
+            return proven_rate
         declared_total = sum(proxy.declared_rate for proxy in self.state.proxies.values())
         return declared_total / max(EPSILON, 2 * total_weight(ready.values()))
 
@@ -108,10 +109,7 @@
             if not reductions:
                 break
             for table in tables:
-                table.target_weights = {
-                    member: weight * reductions.get(member, 1.0)
-                    for member, weight in table.target_weights.items()
-                }
+                table.target_weights = _lowered(table.target_weights, reductions)
             reductions = self._reductions(tables, budgets, rates)
         return reductions
 
@@ -130,3 +128,14 @@
             for member, budget in budgets.items()
             if loads[member] > budget * BUDGET_TOLERANCE
         }
+
+
+def _lowered(weights: dict[int, float], reductions: Mapping[int, float]) -> dict[int, float]:
+    """Return the weights with those over budget lowered.
+
+    They stay as they are if no member has any budget: their proportions would be lost, and nobody
+    else could take the load, which only the table's level can refuse.
+    """
+    if all(reductions.get(member) == 0 for member in weights):
+        return weights
+    return {member: weight * reductions.get(member, 1.0) for member, weight in weights.items()}
--- a/tests/assignment/test_weights.py
+++ b/tests/assignment/test_weights.py
@@ -3,7 +3,7 @@
 from harness import RecordingHost, TraceTestCase, deployment_settings, server
 
 from assignment.scenarios import fleet, zone_bound_host
-from indigodeck.assignment.interface import UpdateKind
+from indigodeck.assignment.interface import ServerState, UpdateKind
 from indigodeck.clock import SECOND
 
 
@@ -47,6 +47,32 @@
         host.run(3)
         self.assert_matches_trace("starting-over", host)
 
+    def test_planner_that_restarts_in_an_outage_keeps_working_when_all_servers_return_cold(self):
+        """Guards against review/7: nothing completed yet was taken for servers without capacity."""
+        host = RecordingHost()
+        host.clock = 60 * SECOND
+        host.start(fleet(), rate=20.0)
+        host.run(6, lambda host: host.report(failed=lambda index: 20))
+        self.assertEqual(host.assigner.admission.fleet.sustained_rate(), 0)
+        host.update_servers(*[server(index, started=host.clock) for index in range(12)])
+        host.run(1)
+        host.update_servers(*[server(index, ServerState.DRAINING) for index in range(3)])
+        self.assertLessEqual({0, 1, 2}, host.assigner.state.ejected)
+        for table in host.assigner.state.tables:
+            self.assertTrue(any(host.tables[table.number].values()))
+            self.assertGreater(table.cold_level, 0)
+
+    def test_servers_without_any_budget_keep_their_lines(self):
+        """With nobody to take their load, only the level refuses it, and updates go on."""
+        host = RecordingHost(deployment_settings(cold_capacity_share=0.0))
+        host.clock = 60 * SECOND
+        host.start(fleet(started=61 * SECOND))
+        host.update_servers(server(0, ServerState.DRAINING, started=61 * SECOND))
+        self.assertEqual(host.assigner.state.ejected, {0})
+        for table in host.assigner.state.tables:
+            self.assertTrue(any(host.tables[table.number].values()))
+            self.assertEqual(table.cold_level, 0)
+
     def test_cold_zone_is_planned_for_the_peak_of_its_zone_bound_class(self):
         """Levels depend on the peak of the latest demand reports."""
         host = zone_bound_host()
