--- a/indigodeck/assignment/assigner.py
+++ b/indigodeck/assignment/assigner.py
@@ -82,7 +82,7 @@
     def on_proxy_joined(self, proxy: int, zone: int, rate: float, fresh: bool) -> None:
         """Register a proxy; `rate` is the requests per second that it declares as usual."""
         declared_rate = rate if 0 < rate < MAX_DECLARED_RATE else 1.0
-        self.state.proxies.join(proxy, zone, declared_rate, self.state.group_count)
+        self.state.proxies.join(proxy, zone, declared_rate, self.state.group_count, self.host.now())
         if not self.delivery.joining:
             self.host.start_timer(JOIN_BATCH_DELAY, Timer.JOIN)
         self.delivery.joining.append(proxy)
--- a/indigodeck/assignment/channel_account.py
+++ b/indigodeck/assignment/channel_account.py
@@ -32,8 +32,8 @@
 
     `throughput_ratio` is the measured throughput over the configured lines per second.
     `call_recipients` are the proxies that already receive orders of the current call: further lines
-    to them go into the same message. An unanswered request for acknowledgement is taken into
-    account for `ack_timeout` microseconds.
+    to them go into the same message. `possible_recipients` are others that may receive some. An
+    unanswered request for acknowledgement is taken into account for `ack_timeout` microseconds.
     """
 
     def __init__(self, settings: DeploymentSettings, now: int, ack_timeout: int) -> None:
@@ -41,6 +41,7 @@
         self.ack_timeout = ack_timeout
         self.throughput_ratio = 1.0
         self.call_recipients: set[int] = set()
+        self.possible_recipients: set[int] = set()
         self.pending_acks: dict[int, PendingAck] = {}
         self.last_ack_number = 0
         self.lines_waiting = 0.0
@@ -82,17 +83,38 @@
             + len(proxies - self.call_recipients) * self.settings.channel.message_overhead_lines
         )
 
+    def begin_call(self) -> None:
+        """Start the orders of one call; the first line to each proxy starts a new message."""
+        self.call_recipients = set()
+        self.possible_recipients = set()
+
     def record_orders(
         self, registry: ProxyRegistry, proxies: Set[int], lines: int, now: int
     ) -> None:
         """Record that `lines` have been ordered to each of the proxies."""
+        self._record_lines(self.cost(proxies, lines), now)
+        self._record_messages(registry, proxies, now)
+        self.call_recipients |= proxies
+
+    def record_possible_orders(
+        self, registry: ProxyRegistry, proxies: Set[int], share: float, now: int
+    ) -> None:
+        """Record a line that this share of the proxies gets; it is not known which of them.
+
+        Each counts as written a message, but none can be relied on for an acknowledgement.
+        """
+        self._record_lines(self.cost(proxies, 1) * share, now)
+        self._record_messages(registry, proxies, now)
+        self.possible_recipients |= proxies
+
+    def _record_lines(self, lines: float, now: int) -> None:
         self.queued_lines(now)
-        cost = self.cost(proxies, lines)
-        self.lines_waiting += cost
-        self.lines_ordered += cost
-        for number in proxies - self.call_recipients:
+        self.lines_waiting += lines
+        self.lines_ordered += lines
+
+    def _record_messages(self, registry: ProxyRegistry, proxies: Set[int], now: int) -> None:
+        for number in proxies - self.call_recipients - self.possible_recipients:
             registry[number].message_times.append(now)
-        self.call_recipients |= proxies
 
     def recent_message_count(self, proxy: Proxy, now: int) -> int:
         """Return how many messages were sent to a proxy within the limit's time window.
--- a/indigodeck/assignment/delivery.py
+++ b/indigodeck/assignment/delivery.py
@@ -2,11 +2,12 @@
 
 Ejections and changes that the deployment's rules require are sent first, then the largest other
 changes, as many as the channel can take. Joined proxies are assigned their tables when the channel
-has room.
+has room; other changes leave them that room.
 """
 
-from collections.abc import Iterable, Iterator, Set
+from collections.abc import Iterable, Iterator, Mapping, Set
 from math import ceil
+from statistics import mean
 from typing import NamedTuple
 
 from .admission import RETRY_POLICY, AdmissionLevels
@@ -39,6 +40,14 @@
     value: float
     table: Table
 
+    def precedes_joining(self, ready: Mapping[int, Server]) -> bool:
+        """Return whether proxies that wait for their tables have to wait for this change too.
+
+        It keeps servers from overload, or belongs to a table without any server to use.
+        """
+        limits_load = not self.deferrable and (self.server == LEVEL_ENTRY or self.server in ready)
+        return limits_load or ready.keys().isdisjoint(self.table.published_weights)
+
 
 class Delivery:
     """Sends orders to proxies within the limits on the channel's queue and on messages per proxy.
@@ -56,7 +65,7 @@
 
     def begin_call(self) -> None:
         """Start the orders of one call; the first line to each proxy starts a new message."""
-        self.state.channel.call_recipients = set()
+        self.state.channel.begin_call()
 
     def end_call(self) -> None:
         """Request an acknowledgement from the proxies that received orders in this call."""
@@ -85,10 +94,12 @@
         urgent = ejections_sent or any(not change.deferrable for change in changes)
         if changes and now - self.published_at < self._min_publish_interval(urgent, ejections_sent):
             return
+        lines_for_joining = self._lines_for_joining()
         for change in sorted(changes, key=lambda change: change[:4]):
-            if self._has_room(change, now):
+            reserved_lines = 0 if change.precedes_joining(ready) else lines_for_joining
+            if self._has_room(change, reserved_lines, now):
                 self._send(change, now)
-        if self.state.channel.call_recipients:
+        if self.state.channel.call_recipients or self.state.channel.possible_recipients:
             self.published_at = now
 
     def update_ejections(self, ready: dict[int, Server]) -> bool:
@@ -118,11 +129,28 @@
             else:
                 state.host.eject_server(server)
             state.health[server].next_check_at = now
-            state.channel.record_orders(state.proxies, holders, 1, now)
+            self._record_ejection(holders, now)
             state.ejected ^= {server}
             any_sent = True
         return any_sent
 
+    def _record_ejection(self, holders: set[int], now: int) -> None:
+        """Record an ejection order; of the proxies that wait for tables only some hold the server.
+
+        What these hold is not known. The estimate is the share of all servers that the tables
+        which serve them have as members.
+        """
+        state = self.state
+        waiting = holders.intersection(self.joining)
+        state.channel.record_orders(state.proxies, holders - waiting, 1, now)
+        if waiting:
+            member_counts = [
+                sum(len(table.members) for table in state.proxies.tables_of(proxy))
+                for proxy in waiting
+            ]
+            share = min(1.0, mean(member_counts) / max(1, len(state.servers)))
+            state.channel.record_possible_orders(state.proxies, waiting, share, now)
+
     def may_send_ejection(self, proxies: Iterable[int]) -> bool:
         """Return whether the message limit lets an ejection be sent to each of these proxies."""
         return self._within_message_limit(proxies, RESERVE_AFTER_EJECTION)
@@ -144,33 +172,53 @@
             self.state.host.log(f"ejection_delayed server={server} delay_us={delay}")
 
     def assign_joining(self) -> None:
-        """Assign joined proxies their tables while the channel has room, highest rate first."""
+        """Assign joined proxies their tables while the channel has room, in order of joining.
+
+        Until then they use what they held before, and orders from before they joined have not
+        reached them. So the time for a drain runs from their joining.
+        """
         state = self.state
         now = state.host.now()
         channel = state.channel
         limit = self.queue_limit()
-        waiting = {proxy for proxy in self.joining if state.proxies[proxy].joined}
         still_waiting: list[int] = []
-        for proxy in sorted(
-            waiting, key=lambda proxy: (-state.proxies[proxy].declared_rate, proxy)
-        ):
-            tables = state.proxies.tables_of(proxy)
-            lines = sum(
-                2
-                + len(table.published_weights)
-                + len(state.ejected & table.published_weights.keys())
-                for table in tables
-            )
+        for proxy in self._waiting():
+            lines = self._table_lines(proxy)
             queued = channel.queued_lines(now)
             if still_waiting or queued and queued + channel.cost({proxy}, lines) > limit:
                 still_waiting.append(proxy)
                 continue
-            for table in tables:
+            for table in state.proxies.tables_of(proxy):
                 table.proxies.add(proxy)
                 state.host.assign_table(proxy, table.number, [table.class_index])
             channel.record_orders(state.proxies, {proxy}, lines, now)
         self.joining = still_waiting
 
+    def _waiting(self) -> list[int]:
+        """Return the joined proxies that wait for their tables, in order of joining.
+
+        Of those that joined at the same moment, the ones with the highest rates come first.
+        """
+        proxies = self.state.proxies
+        return sorted(
+            {proxy for proxy in self.joining if proxies[proxy].joined},
+            key=lambda proxy: (proxies[proxy].joined_at, -proxies[proxy].declared_rate, proxy),
+        )
+
+    def _table_lines(self, proxy: int) -> int:
+        """Return the lines that the assignment of its tables costs a proxy."""
+        return sum(
+            2
+            + len(table.published_weights)
+            + len(self.state.ejected & table.published_weights.keys())
+            for table in self.state.proxies.tables_of(proxy)
+        )
+
+    def _lines_for_joining(self) -> float:
+        """Return the lines that the tables of all waiting proxies cost."""
+        channel = self.state.channel
+        return sum(channel.cost({proxy}, self._table_lines(proxy)) for proxy in self._waiting())
+
     def forget_departed(self, now: int, in_use: Set[int]) -> None:
         """Forget ejected servers that have been gone for a while and are not `in_use`.
 
@@ -228,7 +276,7 @@
             interval = channel.message_window // channel.max_messages
         return interval if urgent else max(TICK_INTERVAL, 2 * interval)
 
-    def _has_room(self, change: TableChange, now: int) -> bool:
+    def _has_room(self, change: TableChange, reserved_lines: float, now: int) -> bool:
         proxies = change.table.proxies
         channel = self.state.channel
         room = self.queue_limit()
@@ -238,7 +286,9 @@
             room = min(room, lines_per_second * channel.throughput_ratio * DEFERRABLE_QUEUE_SECONDS)
             reserve = RESERVE_AFTER_DEFERRABLE
         queued = channel.queued_lines(now) + channel.cost(proxies, 1)
-        return not proxies or queued <= room and self._within_message_limit(proxies, reserve)
+        return not proxies or (
+            queued <= room - reserved_lines and self._within_message_limit(proxies, reserve)
+        )
 
     def _send(self, change: TableChange, now: int) -> None:
         table = change.table
@@ -266,7 +316,9 @@
         channel = self.state.channel
         max_wait = self._max_ejection_wait()
         recipients = [
-            self.state.proxies[proxy] for proxy in proxies if proxy not in channel.call_recipients
+            self.state.proxies[proxy]
+            for proxy in proxies
+            if proxy not in channel.call_recipients and proxy not in channel.possible_recipients
         ]
         return all(
             channel.recent_message_count(proxy, now) + reserve < max_messages
--- a/indigodeck/assignment/demand.py
+++ b/indigodeck/assignment/demand.py
@@ -33,13 +33,17 @@
     """The state of one proxy.
 
     `declared_rate` is the number of requests per second that it declares to receive usually.
+    `joined_at` is when its present stream was established.
     `message_times` are the times of the latest messages to it.
     """
 
-    def __init__(self, locality: Locality, declared_rate: float, demand: Demand) -> None:
+    def __init__(
+        self, locality: Locality, declared_rate: float, demand: Demand, joined_at: int = 0
+    ) -> None:
         self.locality = locality
         self.declared_rate = declared_rate
         self.demand = demand
+        self.joined_at = joined_at
         self.joined = True
         self.left_at = 0
         self.message_times: deque[int] = deque(maxlen=MESSAGE_TIMES_KEPT)
@@ -78,13 +82,15 @@
         """Return the tables that serve a proxy."""
         return self.tables_by_locality[self[number].locality]
 
-    def join(self, number: int, zone: int, declared_rate: float, group_count: int) -> None:
+    def join(
+        self, number: int, zone: int, declared_rate: float, group_count: int, now: int
+    ) -> None:
         """Add a proxy; if it was known before, its earlier demand is kept."""
         demand = self[number].demand if number in self else {}
         # A seeded draw gives the same group at every planner. The remainder of the number would
         # not do, because proxy numbers may correlate with zones.
         group = SeededRandom(number).randbelow(group_count)
-        self[number] = Proxy(Locality(zone, group), declared_rate, demand)
+        self[number] = Proxy(Locality(zone, group), declared_rate, demand, now)
 
     def leave(self, number: int, now: int) -> None:
         """Mark a proxy as departed."""
--- a/tests/assignment/test_channel_account.py
+++ b/tests/assignment/test_channel_account.py
@@ -64,6 +64,20 @@
         channel.on_proxy_left(2)
         self.assertEqual(channel.queued_lines(2 * SECOND), 0)
 
+    def test_orders_that_only_some_proxies_get_cost_their_share(self):
+        """They count as a message to each, but nobody is relied on to acknowledge them."""
+        channel = self.new_account()
+        for number in range(4):
+            self.proxies[number] = Proxy(Locality(0, 0), 1.0, {})
+        channel.begin_call()
+        channel.record_possible_orders(self.proxies, {0, 1, 2, 3}, 0.25, 0)
+        self.assertEqual(channel.lines_waiting, 1)
+        self.assertFalse(channel.call_recipients)
+        channel.record_possible_orders(self.proxies, {0, 1, 2, 3}, 0.25, 0)
+        channel.record_orders(self.proxies, {0}, 3, 0)
+        for proxy in self.proxies.values():
+            self.assertEqual(len(proxy.message_times), 1)
+
     def test_feedback_delay_grows_with_lateness(self):
         """The time until reports can show an order's effect includes the lateness of orders."""
         host = RecordingHost()
--- a/tests/assignment/test_delivery.py
+++ b/tests/assignment/test_delivery.py
@@ -1,11 +1,14 @@
 """Delivery of orders to proxies, within the limits of the channel and of messages."""
 
+import random
 import unittest
 
 from harness import RecordingHost, TraceTestCase, deployment_settings, server
 
 from assignment.scenarios import fleet, fleet_in_zones, large_deployment
+from indigodeck.assignment.delivery import LEVEL_ENTRY, TableChange
 from indigodeck.assignment.interface import ServerState, UpdateKind
+from indigodeck.assignment.tables import Table
 from indigodeck.clock import SECOND
 
 
@@ -211,6 +214,139 @@
         self.assertLess(max(assigned_at.values()) - rejoined_at, host.assigner.settings.drain_grace)
 
 
+class JoinDuringReplacementTest(unittest.TestCase):
+    """All proxies join a restarted planner while six in ten servers are replaced within 7 s."""
+
+    SERVERS = 30
+    REPLACED = 18
+    REPLACEMENT_INTERVAL = 370_000  # microseconds
+    DRAIN_TIME = 3 * SECOND // 2
+    PROXIES = 150
+    FIRST_JOIN = 11 * SECOND // 10
+    LAST_JOIN = 24 * SECOND // 10
+
+    def new_host(self):
+        """Return a host of a planner that has just started, with warm servers in two zones."""
+        host = RecordingHost(
+            deployment_settings(
+                zone_count=2,
+                proxy_count=self.PROXIES,
+                lines_per_second=1200,
+                max_waiting_lines=1200,
+                message_overhead_lines=3,
+                max_delivery_delay=430_000,
+            )
+        )
+        host.clock = 60 * SECOND
+        host.assigner.on_endpoint_update(UpdateKind.CACHED, fleet_in_zones(self.SERVERS, 2))
+        return host
+
+    def actions(self, host, seed):
+        """Return joins, drains and replacements with their times, in order."""
+
+        def join(proxy):
+            host.assigner.on_proxy_joined(proxy, proxy % 2, 1.5, False)
+
+        def drain(index):
+            host.update_servers(server(index, ServerState.DRAINING, zone=index % 2))
+
+        def replace(index):
+            host.update_servers(
+                server(index, ServerState.GONE, zone=index % 2),
+                server(self.SERVERS + index, zone=index % 2, started=host.clock),
+            )
+
+        chance = random.Random(seed)
+        actions = [
+            (chance.randint(self.FIRST_JOIN, self.LAST_JOIN), join, proxy)
+            for proxy in range(self.PROXIES)
+        ]
+        for index in range(self.REPLACED):
+            drained_at = index * self.REPLACEMENT_INTERVAL
+            actions += [(drained_at, drain, index), (drained_at + self.DRAIN_TIME, replace, index)]
+        return sorted(actions, key=lambda action: action[0])
+
+    def test_each_proxy_gets_tables_before_the_grace_for_drains_ends(self):
+        """Guards against review/9: ejections charged to all that wait kept them waiting."""
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                host = self.new_host()
+                began_at = host.clock
+                joined_at = {}
+                for at, action, number in self.actions(host, seed):
+                    host.run((began_at + at - host.clock) / SECOND)
+                    action(number)
+                    if action.__name__ == "join":
+                        joined_at[number] = host.clock
+                host.run(8)
+                assigned_at = host.times_of("assign proxy")
+                self.assertEqual(assigned_at.keys(), joined_at.keys())
+                settings = host.assigner.settings
+                queue_time = host.assigner.delivery.queue_limit() * SECOND
+                longest = (
+                    settings.drain_grace
+                    - settings.channel.max_delivery_delay
+                    - queue_time / settings.channel.lines_per_second
+                )
+                for proxy, at in assigned_at.items():
+                    self.assertLess(at - joined_at[proxy], longest, f"proxy {proxy}")
+
+
+class JoinOrderTest(unittest.TestCase):
+    """Which proxies are assigned tables first, and what they have to wait for."""
+
+    def new_host(self):
+        """Return a host with a slow channel, and warm servers that no proxy uses yet."""
+        host = RecordingHost(deployment_settings(lines_per_second=200, max_waiting_lines=200))
+        host.clock = 60 * SECOND
+        host.assigner.on_endpoint_update(UpdateKind.CACHED, fleet(12))
+        return host
+
+    def test_proxies_get_tables_in_the_order_of_joining(self):
+        """The highest rate comes first only among those that joined at the same moment."""
+        host = self.new_host()
+        for group in range(2):
+            for proxy in range(20):
+                rate = 1.0 + proxy + 100 * group
+                host.assigner.on_proxy_joined(20 * group + proxy, 0, rate, False)
+            host.run(0.1)
+        host.run(20)
+        order = list(host.times_of("assign proxy"))
+        self.assertEqual(order, [*range(19, -1, -1), *range(39, 19, -1)])
+
+    def test_tables_of_waiting_proxies_come_before_changes_that_can_wait(self):
+        """A change that only balances load goes out when nobody waits for tables."""
+        host = self.new_host()
+        host.assigner.on_proxy_joined(0, 0, 1.0, False)
+        host.run(5)
+        for proxy in range(1, 40):
+            host.assigner.on_proxy_joined(proxy, 0, 1.0, False)
+        host.recorded.clear()
+        host.update_servers(*[server(index) for index in range(12, 24)])
+        host.run(1)
+        self.assertTrue(host.assigner.delivery.joining)
+        self.assertFalse([line for line in host.recorded if ": server " in line])
+        host.run(20)
+        self.assertFalse(host.assigner.delivery.joining)
+
+    def test_tables_without_any_server_to_use_do_not_make_way_for_waiting_proxies(self):
+        """Neither do changes that keep servers from overload."""
+        ready = {1: server(1), 2: server(2)}
+        table = Table(0, 0, None, False, "read")
+
+        def precedes_joining(changed_server, deferrable):
+            change = TableChange(deferrable, -1.0, table.number, changed_server, 0.5, table)
+            return change.precedes_joining(ready)
+
+        table.published_weights = {7: 1.0}  # a server that is gone
+        self.assertTrue(precedes_joining(1, deferrable=True))
+        table.published_weights = {7: 1.0, 2: 1.0}
+        self.assertFalse(precedes_joining(1, deferrable=True))
+        self.assertFalse(precedes_joining(7, deferrable=False))
+        self.assertTrue(precedes_joining(2, deferrable=False))
+        self.assertTrue(precedes_joining(LEVEL_ENTRY, deferrable=False))
+
+
 class DepartedServerTest(unittest.TestCase):
     """The state of servers that are gone."""
 
