The comparison of wanted and published tables is a module of its own

delivery.py had grown to 345 lines with two jobs: what differs, and what is sent when. The first is table_changes.py now; nothing else changes.

--- a/indigodeck/assignment/delivery.py
+++ b/indigodeck/assignment/delivery.py
@@ -5,50 +5,25 @@
 has room; other changes leave them that room.
 """
 
-from collections.abc import Iterable, Iterator, Mapping, Set
+from collections.abc import Iterable, Set
 from math import ceil
 from statistics import mean
-from typing import NamedTuple
 
 from .admission import RETRY_POLICY, AdmissionLevels
 from .interface import Server
 from .server_health import MAX_EJECTION_TIME
 from .state import DEPARTED_RETENTION, TICK_INTERVAL, AssignerState
-from .tables import Table
+from .table_changes import LEVEL_ENTRY, TableChange, table_changes
 
 MAX_QUEUE_SHARE = 0.45  # of the channel's queue capacity, which this planner may fill
 # Deferrable changes are sent only while the queue, with them, takes at most this long to deliver.
 DEFERRABLE_QUEUE_SECONDS = 0.25
-MIN_WEIGHT_CHANGE = 0.1  # of the larger weight; smaller changes are not sent
-MIN_LEVEL_CHANGE = 0.03
-WEIGHT_DECIMALS = 4
-LEVEL_ENTRY = -1  # stands in for the server in a change of a table's level
-LEVEL_CHANGE_SIZE = 9e9  # sorts a change of level before all changes of weight
 # Messages to each proxy that stay available for more urgent orders after the one being sent.
 RESERVE_AFTER_EJECTION = 1
 RESERVE_AFTER_URGENT = 3
 RESERVE_AFTER_DEFERRABLE = 5
 
 
-class TableChange(NamedTuple):
-    """A table line to send; changes are sent in the order of the first four fields."""
-
-    deferrable: bool  # no rule requires it, so it may wait
-    negative_size: float
-    table_number: int
-    server: int  # or LEVEL_ENTRY
-    value: float
-    table: Table
-
-    def precedes_joining(self, ready: Mapping[int, Server]) -> bool:
-        """Return whether proxies that wait for their tables have to wait for this change too.
-
-        It keeps servers from overload, or belongs to a table without any server to use.
-        """
-        limits_load = not self.deferrable and (self.server == LEVEL_ENTRY or self.server in ready)
-        return limits_load or ready.keys().isdisjoint(self.table.published_weights)
-
-
 class Delivery:
     """Sends orders to proxies within the limits on the channel's queue and on messages per proxy.
 
@@ -90,7 +65,7 @@
         now = self.state.host.now()
         ready = self.state.ready_servers()
         ejections_sent = self.update_ejections(ready)
-        changes = list(self._changes(ready, now))
+        changes = list(table_changes(self.state, self.admission, ready))
         urgent = ejections_sent or any(not change.deferrable for change in changes)
         if changes and now - self.published_at < self._min_publish_interval(urgent, ejections_sent):
             return
@@ -239,31 +214,6 @@
         """Return how many lines this planner may queue in the channel."""
         return self.state.settings.channel.max_waiting_lines * MAX_QUEUE_SHARE
 
-    def _changes(self, ready: dict[int, Server], now: int) -> Iterator[TableChange]:
-        for table in self.state.tables:
-            yield from self._weight_changes(table, ready, now)
-            level = min(table.cold_level, self.admission.level(table))
-            if _level_differs(level, table.published_level):
-                deferrable = level >= (table.published_level or 0)
-                yield TableChange(
-                    deferrable, -LEVEL_CHANGE_SIZE, table.number, LEVEL_ENTRY, level, table
-                )
-
-    def _weight_changes(
-        self, table: Table, ready: dict[int, Server], now: int
-    ) -> Iterator[TableChange]:
-        warm_up_time = self.state.settings.warm_up_time
-        published = table.published_weights
-        target = table.target_weights
-        for server in published.keys() | target.keys():
-            old = published.get(server, 0.0)
-            new = round(target.get(server, 0.0), WEIGHT_DECIMALS)
-            if abs(new - old) <= MIN_WEIGHT_CHANGE * max(new, old):
-                continue
-            cold = server in ready and now - ready[server].started < warm_up_time
-            deferrable = server in ready and not (cold and new < old)
-            yield TableChange(deferrable, -abs(new - old), table.number, server, new, table)
-
     def _min_publish_interval(self, urgent: bool, ejections_sent: bool) -> int:
         """Return the minimum number of microseconds between two publications.
 
@@ -338,9 +288,3 @@
         messages_per_window = max(1, channel.max_messages - RESERVE_AFTER_EJECTION - 1)
         sustainable_interval = ceil(channel.message_window / messages_per_window)
         return max(1, spare_time, sustainable_interval)
-
-
-def _level_differs(level: float, published: float | None) -> bool:
-    if published is None or abs(level - published) > MIN_LEVEL_CHANGE:
-        return True
-    return level == 1.0 and published != 1.0
--- a/tests/assignment/test_delivery.py
+++ b/tests/assignment/test_delivery.py
@@ -6,8 +6,8 @@
 from harness import RecordingHost, TraceTestCase, deployment_settings, server
 
 from assignment.scenarios import fleet, fleet_in_zones, large_deployment
-from indigodeck.assignment.delivery import LEVEL_ENTRY, TableChange
 from indigodeck.assignment.interface import ServerState, UpdateKind
+from indigodeck.assignment.table_changes import LEVEL_ENTRY, TableChange
 from indigodeck.assignment.tables import Table
 from indigodeck.clock import SECOND
 
