--- a/indigodeck/assignment/key_ranges.py
+++ b/indigodeck/assignment/key_ranges.py
@@ -94,9 +94,20 @@
         random = SeededRandom(seed_from(str(table), ids))
         new_server = ordered_servers[random.randbelow(len(ordered_servers))].index
         self.servers_of[table] = {new_server}
-        if not self.state.settings.exclusive_ownership:
+        if self.state.settings.exclusive_ownership:
+            self._log_handover(table, servers, new_server, now)
+        else:
             for server in sorted(servers):
                 self.state.host.set_weight(table, server, 0.0)
         self.state.host.set_weight(table, new_server, 1.0)
         joined = self.state.proxies.joined()
         self.state.channel.record_orders(self.state.proxies, joined, 2, now)
+
+    def _log_handover(self, table: int, former_owners: set[int], owner: int, now: int) -> None:
+        """Log how long a key range waited for its next owner, and how many leases had to end."""
+        for former in sorted(former_owners):
+            ejected = self.write_leases.owners[former]
+            self.state.host.log(
+                f"owner_replaced table={table} former={former} owner={owner}"
+                f" waited_us={now - ejected.tracked_at} leases_ended={len(ejected.writers)}"
+            )
--- a/indigodeck/assignment/write_leases.py
+++ b/indigodeck/assignment/write_leases.py
@@ -26,13 +26,16 @@
 
 
 class EjectedOwner:
-    """An owner whose ejection has been ordered.
+    """An owner whose ejection has been ordered, tracked since `tracked_at`.
 
     `informed` are the joined proxies that the order was sent to since they joined. `writers` are
     those that may still write to it, by number; the others have stopped by `stopped_at`.
     """
 
-    def __init__(self, writers: Mapping[int, PossibleWriter], stopped_at: int) -> None:
+    def __init__(
+        self, writers: Mapping[int, PossibleWriter], tracked_at: int, stopped_at: int
+    ) -> None:
+        self.tracked_at = tracked_at
         self.informed: set[int] = set()
         self.writers = dict(writers)
         self.stopped_at = stopped_at
@@ -57,7 +60,7 @@
             del self.owners[owner]
         for owner in sorted(owners - self.owners.keys()):
             self.owners[owner] = EjectedOwner(
-                self._departed_writers(now), stopped_at=self._delivered_by(now)
+                self._departed_writers(now), tracked_at=now, stopped_at=self._delivered_by(now)
             )
 
     def uninformed(self, owner: int) -> set[int]:
--- a/tests/assignment/test_write_leases.py
+++ b/tests/assignment/test_write_leases.py
@@ -98,6 +98,10 @@
             took, WRITE_LEASE + host.assigner.settings.channel.max_delivery_delay
         )
         self.assertLess(took, WRITE_LEASE + 2 * SECOND)
+        logged = [line for line in host.recorded if "owner_replaced" in line]
+        self.assertEqual(len(logged), 1)
+        self.assertIn("table=2 former=1", logged[0])
+        self.assertTrue(logged[0].endswith("leases_ended=1"))
 
     def test_returning_proxy_is_told_of_the_ejection_and_has_to_confirm_it(self):
         """It reads the former owner from the store, and earlier orders have not reached it."""
