A key range from another planner waits for the write leases of the proxies that followed it

Acknowledgements given before the range came to this planner were taken as proof, and proxies that all had joined were not waited for. A proxy that hasn't learned of the move still follows the other planner, where our ejections don't hold. So the leases run from the assignment of the range for all proxies; the count of known proxies, which had been the condition, is gone.

Test: the owner's ejection is acknowledged before the range comes; failed before (moved at once).

--- a/indigodeck/assignment/write_leases.py
+++ b/indigodeck/assignment/write_leases.py
@@ -50,7 +50,6 @@
 
     def __init__(self, state: AssignerState) -> None:
         self.state = state
-        self.started_at = state.host.now()
         self.owners: dict[int, EjectedOwner] = {}
         self.requested_at: dict[int, int] = {}  # by the number of the acknowledgement request
 
@@ -107,16 +106,13 @@
         if ejected is None or self.uninformed(owner):
             return False
         settings = self.state.settings
-        writes_end_at = ejected.writes_end_at()
-        if not self._knows_all_proxies():
-            # The others had streams to an earlier process of this planner, or to another planner.
-            lost_streams_at = max(self.started_at, assigned_at)
-            writes_end_at = max(writes_end_at, lost_streams_at + settings.write_lease)
+        # Proxies followed an earlier process of this planner, or another planner, until then. They
+        # may not have joined this one, or not have learned yet that its ejections hold for the
+        # key range.
+        former_leases_end_at = assigned_at + settings.write_lease
+        writes_end_at = max(ejected.writes_end_at(), former_leases_end_at)
         return now >= writes_end_at + settings.write_settle_time
 
-    def _knows_all_proxies(self) -> bool:
-        return 0 < self.state.settings.proxy_count <= len(self.state.proxies)
-
     def _departed_writers(self, now: int) -> dict[int, PossibleWriter]:
         write_lease = self.state.settings.write_lease
         return {
--- a/tests/assignment/test_write_leases.py
+++ b/tests/assignment/test_write_leases.py
@@ -142,6 +142,19 @@
         acknowledge(host, 0, 1)
         self.assertGreaterEqual(move_time(host) + 3 * SECOND // 10, WRITE_LEASE)
 
+    def test_former_acknowledgements_do_not_count_for_a_key_range_of_another_planner(self):
+        """A proxy that has not learned of the move follows the other planner, for its lease."""
+        host = host_with_owner(proxies=2)
+        host.assigner.on_endpoint_update(UpdateKind.FULL, fleet(2)[:1])
+        acknowledge(host, 0, 1)
+        host.run(0.1)
+        host.assigner.on_key_range_assigned(3, True)
+        host.assigner.on_key_range_server(3, 1, 1.0)
+        host.run(2)
+        self.assertNotIn(3, host.tables)
+        host.run(1)
+        self.assertIn(3, host.tables)
+
     def test_departed_owner_without_a_substitute_stays_ejected(self):
         """A server that still holds a key range is not forgotten, and others are."""
         host = host_with_owner(proxies=2)
