--- a/tests/store/crash_scenarios.py
+++ b/tests/store/crash_scenarios.py
@@ -65,7 +65,8 @@
     def _batch(self) -> Changes:
         changes = []
         count = 1 + self._random.randbelow(3)
-        for key in {KEYS[self._random.randbelow(len(KEYS))] for _ in range(count)}:
+        keys = {KEYS[self._random.randbelow(len(KEYS))] for _ in range(count)}
+        for key in sorted(keys):  # a set's order depends on the interpreter's hash seed
             self._change_count += 1
             value = None
             if self._random.randbelow(5):
