--- a/indigodeck/assignment/key_ranges.py
+++ b/indigodeck/assignment/key_ranges.py
@@ -42,24 +42,39 @@
     def update(self) -> None:
         """Eject servers that are not ready, and move their key ranges to other servers."""
         now = self.state.host.now()
-        ready = self.state.ready_servers()
+        ready = self._usable_servers(now)
         # Proxies read their tables from the store, so none waits for this planner to assign them.
         self.delivery.joining.clear()
         ejected_before = set(self.state.ejected)
         self.delivery.update_ejections(ready)
         self.write_leases.track(self.servers_in_use() & self.state.ejected, now)
-        self._inform_joined_proxies(self.state.ejected - ejected_before, now)
+        needs_ack = self._inform_joined_proxies(self.state.ejected - ejected_before, now)
         ordered_servers = sorted(ready.values(), key=lambda server: server.stable_id)
         for table, servers in sorted(self.servers_of.items()):
             if servers & ready.keys() or not ordered_servers:
                 continue
             if self._may_reassign(table, servers, now) and self._has_room(now):
                 self._reassign(table, servers, ordered_servers, now)
+                needs_ack = True
+        exclusive = self.state.settings.exclusive_ownership
+        if needs_ack and exclusive and self.state.proxies.joined():
+            number = self.delivery.request_ack(all_proxies=True)
+            self.write_leases.on_ack_requested(number, now)
+
+    def _usable_servers(self, now: int) -> dict[int, Server]:
+        """Return the ready servers without replaced owners that proxies may still write to."""
+        unconfirmed = self.write_leases.unconfirmed_replacements(now)
+        return {
+            index: server
+            for index, server in self.state.ready_servers().items()
+            if index not in unconfirmed
+        }
 
-    def _inform_joined_proxies(self, newly_ejected: set[int], now: int) -> None:
+    def _inform_joined_proxies(self, newly_ejected: set[int], now: int) -> bool:
         """Repeat the ejections of servers in use for proxies that have joined since.
 
         They read the former server from the store, and earlier orders have not reached them.
+        Returns whether any proxy has been informed.
         """
         joined = self.state.proxies.joined()
         any_sent = False
@@ -73,9 +88,7 @@
                 self.state.channel.record_orders(self.state.proxies, joined, 1, now)
             self.write_leases.on_ejection_sent(owner, now)
             any_sent = True
-        if any_sent and self.state.settings.exclusive_ownership:
-            number = self.delivery.request_ack(all_proxies=True)
-            self.write_leases.on_ack_requested(number, now)
+        return any_sent
 
     def _may_reassign(self, table: int, servers: set[int], now: int) -> bool:
         """Return whether no write can reach the previous servers if each has to be the only one."""
@@ -94,18 +107,22 @@
         random = SeededRandom(seed_from(str(table), ids))
         new_server = ordered_servers[random.randbelow(len(ordered_servers))].index
         self.servers_of[table] = {new_server}
-        if self.state.settings.exclusive_ownership:
-            self._log_handover(table, servers, new_server, now)
-        else:
+        exclusive = self.state.settings.exclusive_ownership
+        if not exclusive:
             for server in sorted(servers):
                 self.state.host.set_weight(table, server, 0.0)
         self.state.host.set_weight(table, new_server, 1.0)
         joined = self.state.proxies.joined()
         self.state.channel.record_orders(self.state.proxies, joined, 2, now)
+        if exclusive:
+            self._record_replacement(table, servers, new_server, now)
 
-    def _log_handover(self, table: int, former_owners: set[int], owner: int, now: int) -> None:
-        """Log how long a key range waited for its next owner, and how many leases had to end."""
+    def _record_replacement(
+        self, table: int, former_owners: set[int], owner: int, now: int
+    ) -> None:
+        """Track who knows the next owner; log how long it took, and how many leases had to end."""
         for former in sorted(former_owners):
+            self.write_leases.on_replaced(former, now)
             ejected = self.write_leases.owners[former]
             self.state.host.log(
                 f"owner_replaced table={table} former={former} owner={owner}"
--- a/indigodeck/assignment/write_leases.py
+++ b/indigodeck/assignment/write_leases.py
@@ -6,7 +6,7 @@
 confirmed the ejection or outlived its lease. Times are whole microseconds.
 """
 
-from collections.abc import Mapping, Set
+from collections.abc import Iterator, Mapping, Set
 from typing import NamedTuple
 
 from ..clock import SECOND
@@ -25,32 +25,59 @@
     stops_at: int
 
 
-class EjectedOwner:
+class WriterSet:
+    """The proxies that may still write to a server, by number; others have stopped by `stopped_at`.
+
+    It is empty for good when all have confirmed that they have stopped, or outlived their leases.
+    """
+
+    def __init__(self, writers: Mapping[int, PossibleWriter], stopped_at: int) -> None:
+        self.writers = dict(writers)
+        self.stopped_at = stopped_at
+
+    def writes_end_at(self) -> int:
+        """Return when no proxy known to this planner sends writes to the server any more."""
+        return max([self.stopped_at, *(writer.stops_at for writer in self.writers.values())])
+
+    def on_ack(self, proxy: int, requested_at: int, now: int) -> None:
+        """Process an acknowledgement that was requested at `requested_at`."""
+        writer = self.writers.get(proxy)
+        if writer is not None and requested_at >= writer.ordered_at:
+            del self.writers[proxy]
+            self.stopped_at = max(self.stopped_at, now)
+
+    def on_proxy_left(self, proxy: int, lease_end: int) -> None:
+        """Limit the writes of a proxy whose stream has broken to its lease."""
+        writer = self.writers.get(proxy)
+        if writer is not None and lease_end < writer.stops_at:
+            self.writers[proxy] = writer._replace(stops_at=lease_end)
+
+
+class EjectedOwner(WriterSet):
     """An owner whose ejection has been ordered, tracked since `tracked_at`.
 
-    `informed` are the joined proxies that the order was sent to since they joined. `writers` are
-    those that may still write to it, by number; the others have stopped by `stopped_at`.
+    `informed` are the joined proxies that the order was sent to since they joined.
     """
 
     def __init__(
         self, writers: Mapping[int, PossibleWriter], tracked_at: int, stopped_at: int
     ) -> None:
+        super().__init__(writers, stopped_at)
         self.tracked_at = tracked_at
         self.informed: set[int] = set()
-        self.writers = dict(writers)
-        self.stopped_at = stopped_at
-
-    def writes_end_at(self) -> int:
-        """Return when no proxy known to this planner sends writes to it any more."""
-        return max([self.stopped_at, *(writer.stops_at for writer in self.writers.values())])
 
 
 class WriteLeases:
-    """The ejected owners of key ranges, and which proxies may still write to them."""
+    """The ejected owners of key ranges, and which proxies may still write to them.
+
+    `owners` still have a key range. `replaced` have lost one: proxies that do not know the next
+    owner yet would write to the former one again if its ejection ended.
+    """
 
     def __init__(self, state: AssignerState) -> None:
         self.state = state
         self.owners: dict[int, EjectedOwner] = {}
+        self.replaced: dict[int, WriterSet] = {}
         self.requested_at: dict[int, int] = {}  # by the number of the acknowledgement request
 
     def track(self, owners: Set[int], now: int) -> None:
@@ -69,9 +96,24 @@
     def on_ejection_sent(self, owner: int, now: int) -> None:
         """Record that the owner's ejection has been sent to all joined proxies."""
         proxies = self.uninformed(owner)
-        writer = PossibleWriter(now, self._delivered_by(now) + self.state.settings.write_lease)
         self.owners[owner].informed |= proxies
-        self.owners[owner].writers.update(dict.fromkeys(proxies, writer))
+        self.owners[owner].writers.update(dict.fromkeys(proxies, self._informed_writer(now)))
+
+    def on_replaced(self, owner: int, now: int) -> None:
+        """Record that the next owner of a key range has been sent to all joined proxies."""
+        writers = self._departed_writers(now)
+        writers.update(dict.fromkeys(self.state.proxies.joined(), self._informed_writer(now)))
+        self.replaced[owner] = WriterSet(writers, stopped_at=now)
+
+    def unconfirmed_replacements(self, now: int) -> set[int]:
+        """Return the replaced owners that some proxy may still take for the owner."""
+        settle_time = self.state.settings.write_settle_time
+        self.replaced = {
+            owner: writers
+            for owner, writers in self.replaced.items()
+            if now < writers.writes_end_at() + settle_time
+        }
+        return set(self.replaced)
 
     def on_ack_requested(self, number: int, now: int) -> None:
         """Record a request for acknowledgement to all joined proxies."""
@@ -85,20 +127,15 @@
         requested_at = self.requested_at.get(number)
         if requested_at is None:
             return
-        for owner in self.owners.values():
-            writer = owner.writers.get(proxy)
-            if writer is not None and requested_at >= writer.ordered_at:
-                del owner.writers[proxy]
-                owner.stopped_at = max(owner.stopped_at, now)
+        for writers in self._all_writers():
+            writers.on_ack(proxy, requested_at, now)
 
     def on_proxy_left(self, proxy: int, now: int) -> None:
         """Limit the writes of a proxy whose stream has broken to its lease."""
-        lease_end = now + self.state.settings.write_lease
         for owner in self.owners.values():
             owner.informed.discard(proxy)
-            writer = owner.writers.get(proxy)
-            if writer is not None and lease_end < writer.stops_at:
-                owner.writers[proxy] = writer._replace(stops_at=lease_end)
+        for writers in self._all_writers():
+            writers.on_proxy_left(proxy, now + self.state.settings.write_lease)
 
     def is_released(self, owner: int, assigned_at: int, now: int) -> bool:
         """Return whether no write can reach an owner of a key range assigned at `assigned_at`."""
@@ -113,6 +150,14 @@
         writes_end_at = max(ejected.writes_end_at(), former_leases_end_at)
         return now >= writes_end_at + settings.write_settle_time
 
+    def _all_writers(self) -> Iterator[WriterSet]:
+        yield from self.owners.values()
+        yield from self.replaced.values()
+
+    def _informed_writer(self, now: int) -> PossibleWriter:
+        """Return a joined proxy's entry: it stops when it applies the orders given now."""
+        return PossibleWriter(now, self._delivered_by(now) + self.state.settings.write_lease)
+
     def _departed_writers(self, now: int) -> dict[int, PossibleWriter]:
         write_lease = self.state.settings.write_lease
         return {
--- a/tests/assignment/test_write_leases.py
+++ b/tests/assignment/test_write_leases.py
@@ -1,30 +1,24 @@
 """Exclusive owners of key ranges: no write reaches a former owner after a later one."""
 
-import random
 import unittest
 
 from edge.stand_ins import PLATFORM_SETTINGS
-from harness import RecordingHost, deployment_settings, server
-
+from harness import RecordingHost, server
+
+from assignment.ownership_simulation import (
+    KEY_RANGE,
+    STEP,
+    WRITE_LEASE,
+    OwnershipSimulation,
+    exclusive_settings,
+)
 from assignment.scenarios import fleet
 from indigodeck.assignment.interface import ServerState, UpdateKind
 from indigodeck.clock import MILLISECOND, SECOND
 from indigodeck.settings import settings_from_object
 
-WRITE_LEASE = 5 * SECOND // 2
-KEY_RANGE = 2
-
-
-def exclusive_settings(proxies, **changes):
-    """Return settings with exclusive owners and a write lease."""
-    return deployment_settings(
-        key_range_count=8,
-        exclusive_ownership=True,
-        write_lease=WRITE_LEASE,
-        write_settle_time=SECOND // 50,
-        proxy_count=proxies,
-        **changes,
-    )
+MINUTE = 60 * SECOND
+SEEDS = 40
 
 
 def host_with_owner(proxies, owner=1, expected_proxies=None):
@@ -155,6 +149,37 @@
         host.run(1)
         self.assertIn(3, host.tables)
 
+    def test_former_owner_stays_ejected_until_no_lease_names_it_any_more(self):
+        """A proxy that returns writes to the owner it knew until it has read the store."""
+        host = host_with_owner(proxies=3)
+        host.update_servers(server(1, ServerState.DRAINING))
+        acknowledge(host, 0, 1, 2)
+        host.assigner.on_proxy_left(2)
+        lease_end = host.clock + WRITE_LEASE
+        move_time(host)
+        acknowledge(host, 0, 1)
+        host.update_servers(server(1))
+        host.assigner.on_proxy_joined(2, 0, 1.0, False)
+        host.run((lease_end - host.clock) / SECOND)
+        self.assertNotIn(1, host.times_of("uneject server"))
+        host.run(0.5)
+        self.assertIn(1, host.times_of("uneject server"))
+
+    def test_former_owner_is_used_again_once_all_proxies_know_the_next_one(self):
+        """They all confirm the next owner, so nobody's lease has to end."""
+        host = host_with_owner(proxies=2)
+        host.update_servers(server(1, ServerState.DRAINING))
+        acknowledge(host, 0, 1)
+        move_time(host)
+        moved_at = host.clock
+        host.update_servers(server(1))
+        host.run(0.2)
+        self.assertNotIn(1, host.times_of("uneject server"))
+        acknowledge(host, 0, 1)
+        host.run(WRITE_LEASE / SECOND)
+        unejected_at = host.times_of("uneject server")[1]
+        self.assertLess(unejected_at - moved_at, 3 * SECOND // 2)
+
     def test_departed_owner_without_a_substitute_stays_ejected(self):
         """A server that still holds a key range is not forgotten, and others are."""
         host = host_with_owner(proxies=2)
@@ -164,178 +189,28 @@
         self.assertFalse(host.assigner.delivery.joining)
 
 
-class SimulatedProxy:
-    """A proxy: the owner of the key range as it knows it, and its right to write."""
-
-    def __init__(self, number):
-        self.number = number
-        self.joined = False
-        self.stream = 0  # counts the streams, so that messages of a broken one are lost
-        self.owner = None
-        self.withdrawn = set()
-        self.writes_until = None
-        self.next_arrival = 0
-
-
-class SimulatedOwnership(RecordingHost):
-    """Proxies that write to the owner of one key range all the time, while streams break.
-
-    `breaks` lists the writes that reached a former owner after a later one.
-    """
-
-    STEP = SECOND // 50
-
-    def __init__(self, seed, proxies):
-        self.random = random.Random(seed)
-        self.events = []
-        self.event_count = 0
-        self.store = 1
-        self.states = dict.fromkeys(range(5), ServerState.READY)
-        self.owners_in_order = []
-        self.breaks = []
-        self.proxies = [SimulatedProxy(number) for number in range(proxies)]
-        super().__init__(exclusive_settings(proxies))
-        self.begin()
-
-    def begin(self):
-        """Give the planner the fleet and the key range."""
-        servers = [server(index, state) for index, state in self.states.items()]
-        self.assigner.on_endpoint_update(UpdateKind.CACHED, servers)
-        self.assigner.on_key_range_assigned(KEY_RANGE, True)
-        self.assigner.on_key_range_server(KEY_RANGE, self.store, 1.0)
-
-    def later(self, delay, action, *arguments):
-        """Call `action` after a delay."""
-        self.event_count += 1
-        self.events.append((self.clock + delay, self.event_count, action, arguments))
-
-    def deliver(self, action, *arguments):
-        """Send something to each joined proxy, in the order of sending."""
-        for proxy in self.proxies:
-            if proxy.joined:
-                delay = self.random.randrange(SECOND // 20, SECOND // 2)
-                proxy.next_arrival = max(proxy.next_arrival + 1, self.clock + delay)
-                self.later(
-                    proxy.next_arrival - self.clock,
-                    self.arrive, proxy, proxy.stream, action, arguments,
-                )  # fmt: skip
-
-    def arrive(self, proxy, stream, action, arguments):
-        """Apply a message, unless the stream that it was sent on has broken."""
-        if proxy.joined and proxy.stream == stream:
-            action(proxy, *arguments)
-
-    def set_weight(self, table, server_index, weight):
-        """Name a new owner in the store and to the joined proxies."""
-        super().set_weight(table, server_index, weight)
-        self.store = server_index
-        self.deliver(lambda proxy: setattr(proxy, "owner", server_index))
-
-    def eject_server(self, server_index):
-        """Withdraw a server at the joined proxies."""
-        super().eject_server(server_index)
-        self.deliver(lambda proxy: proxy.withdrawn.add(server_index))
-
-    def uneject_server(self, server_index):
-        """Let the joined proxies use a server again."""
-        super().uneject_server(server_index)
-        self.deliver(lambda proxy: proxy.withdrawn.discard(server_index))
-
-    def request_ack(self, number, all_proxies):
-        """Let each joined proxy acknowledge what it has applied."""
-        assigner = self.assigner
-        self.deliver(lambda proxy: assigner.on_ack(proxy.number, number, SECOND // 5))
-
-    def join(self, proxy):
-        """Establish a proxy's stream; it reads the store within a second."""
-        proxy.joined = True
-        proxy.stream += 1
-        self.assigner.on_proxy_joined(proxy.number, 0, 1.0, False)
-        self.later(
-            self.random.randrange(SECOND), self.arrive, proxy, proxy.stream, self.read_store, ()
-        )
-
-    def read_store(self, proxy):
-        """Let a proxy learn the owner from the store; its right to write has no end again."""
-        proxy.owner = self.store
-        proxy.writes_until = None
-
-    def break_stream(self, proxy):
-        """Break a proxy's stream; it keeps its right to write for the lease, if it had one."""
-        proxy.joined = False
-        lease_end = self.clock + WRITE_LEASE
-        proxy.writes_until = min(lease_end, proxy.writes_until or lease_end)
-
-    def cut(self, proxy):
-        """Break a proxy's stream; the planner notices later, and the proxy dials again."""
-        self.break_stream(proxy)
-        noticed_after = self.random.randrange(SECOND // 2, 9 * SECOND // 5)
-        self.later(noticed_after, self.assigner.on_proxy_left, proxy.number)
-        redial_after = noticed_after + self.random.randrange(SECOND, 4 * SECOND)
-        self.later(redial_after, self.join, proxy)
-
-    def restart(self):
-        """Replace the planner by a new process; all streams break and are dialled again."""
-        self.timers.clear()
-        self.events.clear()
-        self.assigner = type(self.assigner)(self, self.assigner.settings, 7)
-        self.begin()
-        for proxy in self.proxies:
-            if proxy.joined:
-                self.break_stream(proxy)
-            self.later(self.random.randrange(SECOND, 4 * SECOND), self.join, proxy)
-
-    def turn_server(self):
-        """Drain a server, most often the owner, or list it as ready again."""
-        index = self.store if self.random.random() < 0.7 else self.random.randrange(5)
-        ready = self.states[index] == ServerState.READY
-        self.states[index] = ServerState.DRAINING if ready else ServerState.READY
-        self.update_servers(server(index, self.states[index]))
-
-    def step(self):
-        """Advance by one step, with chance events; each proxy writes once."""
-        self.run(self.STEP / SECOND)
-        for event in sorted(event for event in self.events if event[0] <= self.clock):
-            if event in self.events:
-                self.events.remove(event)
-                _, _, action, arguments = event
-                action(*arguments)
-        if self.random.random() < 0.004:
-            self.turn_server()
-        if self.random.random() < 0.0003:
-            self.restart()
-        for proxy in self.proxies:
-            if proxy.joined and self.random.random() < 0.002:
-                self.cut(proxy)
-            self.write(proxy)
-
-    def write(self, proxy):
-        """Let a proxy write, if it may, and check the order of owners."""
-        if proxy.writes_until is not None and self.clock > proxy.writes_until:
-            return
-        if proxy.owner is None or proxy.owner in proxy.withdrawn:
-            return
-        if self.owners_in_order[-1:] == [proxy.owner]:
-            return
-        if proxy.owner == self.store:
-            self.owners_in_order.append(proxy.owner)
-        else:
-            self.breaks.append((self.clock, proxy.number, proxy.owner, self.store))
-
-
 class ChanceEventsTest(unittest.TestCase):
     """Streams break and return, servers drain and return, and planners restart, by seed."""
 
+    def play(self, seed, planners):
+        """Play a minute, check that no write was late, and return how often the owner moved."""
+        simulation = OwnershipSimulation(seed, proxies=6, planners=planners)
+        simulation.run(MINUTE // STEP)
+        self.assertEqual(simulation.breaks, [])
+        return len(simulation.accepted) - 1
+
     def test_no_write_reaches_a_former_owner_after_a_later_one(self):
         """Guards against review/6 with events at any time."""
         moves = 0
-        for seed in range(12):
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                moves += self.play(seed, planners=1)
+        self.assertGreater(moves, 2 * SEEDS)
+
+    def test_no_write_is_late_while_the_key_range_changes_hands_between_planners(self):
+        """Guards against review/6 with two planners, which take the key range from each other."""
+        moves = 0
+        for seed in range(SEEDS):
             with self.subTest(seed=seed):
-                platform = SimulatedOwnership(seed, proxies=6)
-                for proxy in platform.proxies:
-                    platform.join(proxy)
-                for _ in range(3000):
-                    platform.step()
-                self.assertEqual(platform.breaks, [])
-                moves += len(platform.owners_in_order) - 1
-        self.assertGreater(moves, 40)
+                moves += self.play(seed, planners=2)
+        self.assertGreater(moves, 2 * SEEDS)
