--- a/tests/assignment/test_delivery.py
+++ b/tests/assignment/test_delivery.py
@@ -347,6 +347,27 @@
         self.assertTrue(precedes_joining(LEVEL_ENTRY, deferrable=False))
 
 
+class EmptyTableTest(unittest.TestCase):
+    """Tables that have lost all their servers."""
+
+    def test_a_table_gets_its_first_line_however_many_proxies_use_it(self):
+        """Guards against lines that cost more than may wait, so that none is ever sent."""
+        host = RecordingHost(
+            deployment_settings(zone_count=3, proxy_count=29, lines_per_second=400)
+        )
+        host.clock = 60 * SECOND
+        host.start(fleet_in_zones(6, 3), proxies=29, zones=3)
+        host.run(10)
+        host.update_servers(
+            *[server(index, ServerState.GONE, zone=index % 3) for index in range(6)]
+        )
+        host.run(10)
+        host.update_servers(*[server(index, zone=index % 3) for index in range(6, 12)])
+        host.run(host.assigner.settings.max_unserved_time / SECOND)
+        for table in host.assigner.state.tables:
+            self.assertTrue(table.published_weights)
+
+
 class DepartedServerTest(unittest.TestCase):
     """The state of servers that are gone."""
 
