--- a/indigodeck/assignment/key_ranges.py
+++ b/indigodeck/assignment/key_ranges.py
@@ -62,13 +62,12 @@
             self.write_leases.on_ack_requested(number, now)
 
     def _usable_servers(self, now: int) -> dict[int, Server]:
-        """Return the ready servers without replaced owners that proxies may still write to."""
-        unconfirmed = self.write_leases.unconfirmed_replacements(now)
-        return {
-            index: server
-            for index, server in self.state.ready_servers().items()
-            if index not in unconfirmed
-        }
+        """Return the ready servers without those that proxies may wrongly take for an owner."""
+        ready = self.state.ready_servers()
+        if not self.state.settings.exclusive_ownership:
+            return ready
+        excluded = self.write_leases.not_yet_readmitted(now)
+        return {index: server for index, server in ready.items() if index not in excluded}
 
     def _inform_joined_proxies(self, newly_ejected: set[int], now: int) -> bool:
         """Repeat the ejections of servers in use for proxies that have joined since.
--- a/indigodeck/assignment/write_leases.py
+++ b/indigodeck/assignment/write_leases.py
@@ -3,7 +3,8 @@
 A proxy whose stream has broken goes on writing to the owners that it knows until its write lease
 ends. A joined proxy stops when it applies the owner's ejection, which it confirms with an
 acknowledgement. So an ejected owner is released, and may be replaced, when each proxy has either
-confirmed the ejection or outlived its lease. Times are whole microseconds.
+confirmed the ejection or outlived its lease. It stays ejected until, in the same way, no proxy
+takes it for the owner any more. Times are whole microseconds.
 """
 
 from collections.abc import Iterator, Mapping, Set
@@ -28,7 +29,7 @@
 class WriterSet:
     """The proxies that may still write to a server, by number; others have stopped by `stopped_at`.
 
-    It is empty for good when all have confirmed that they have stopped, or outlived their leases.
+    A proxy is removed when it confirms that it has stopped.
     """
 
     def __init__(self, writers: Mapping[int, PossibleWriter], stopped_at: int) -> None:
@@ -71,11 +72,13 @@
     """The ejected owners of key ranges, and which proxies may still write to them.
 
     `owners` still have a key range. `replaced` have lost one: proxies that do not know the next
-    owner yet would write to the former one again if its ejection ended.
+    owner yet would write to the former one again if its ejection ended. The process, which began at
+    `started_at`, does not know which owners a former one has replaced.
     """
 
     def __init__(self, state: AssignerState) -> None:
         self.state = state
+        self.started_at = state.host.now()
         self.owners: dict[int, EjectedOwner] = {}
         self.replaced: dict[int, WriterSet] = {}
         self.requested_at: dict[int, int] = {}  # by the number of the acknowledgement request
@@ -105,14 +108,17 @@
         writers.update(dict.fromkeys(self.state.proxies.joined(), self._informed_writer(now)))
         self.replaced[owner] = WriterSet(writers, stopped_at=now)
 
-    def unconfirmed_replacements(self, now: int) -> set[int]:
-        """Return the replaced owners that some proxy may still take for the owner."""
-        settle_time = self.state.settings.write_settle_time
+    def not_yet_readmitted(self, now: int) -> set[int]:
+        """Return the ejected servers that some proxy may still take for an owner."""
+        settings = self.state.settings
         self.replaced = {
             owner: writers
             for owner, writers in self.replaced.items()
-            if now < writers.writes_end_at() + settle_time
+            if now < writers.writes_end_at() + settings.write_settle_time
         }
+        former_leases_end_at = self.started_at + settings.write_lease
+        if now < former_leases_end_at + settings.write_settle_time:
+            return self.state.ejected | self.replaced.keys()
         return set(self.replaced)
 
     def on_ack_requested(self, number: int, now: int) -> None:
--- a/tests/assignment/test_write_leases.py
+++ b/tests/assignment/test_write_leases.py
@@ -123,6 +123,20 @@
         host.assigner.on_key_range_server(KEY_RANGE, 1, 1.0)
         self.assertGreaterEqual(move_time(host), WRITE_LEASE)
 
+    def test_restarted_planner_ends_no_ejection_before_the_leases_from_its_former_process(self):
+        """The former process may have replaced an owner, and not all proxies know the next one."""
+        host = RecordingHost(exclusive_settings(proxies=2))
+        host.ack_delay = None
+        host.start([server(1, ServerState.DRAINING), server(2)])
+        started_at = host.clock
+        host.assigner.on_key_range_assigned(KEY_RANGE, True)
+        host.assigner.on_key_range_server(KEY_RANGE, 2, 1.0)
+        host.run(1)
+        host.update_servers(server(1))
+        host.run(WRITE_LEASE / SECOND)
+        unejected_at = host.times_of("uneject server")[1]
+        self.assertGreaterEqual(unejected_at - started_at, WRITE_LEASE)
+
     def test_key_range_of_another_planner_waits_for_the_leases_of_its_proxies(self):
         """A proxy that this planner has never met may write to the owner it knows."""
         host = host_with_owner(proxies=2, expected_proxies=3)
