The admission controller of one set of servers is a module of its own

The controller, its measurement and its constants are in admission_controller.py now; nothing else changes.

--- a/indigodeck/assignment/outlier_detection.py
+++ b/indigodeck/assignment/outlier_detection.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from ..clock import SECOND
-from .admission import CUT_LATENCY_RATIO
+from .admission_controller import CUT_LATENCY_RATIO
 from .interface import HealthCheckOutcome, Server
 from .load_reports import SUFFICIENT_ATTEMPTS, ReportSummary, weighted_quantile
 from .server_health import BASE_EJECTION_TIME, MAX_EJECTION_TIME, ReceivedReport, ServerHealth
