--- a/indigodeck/assignment/delivery.py
+++ b/indigodeck/assignment/delivery.py
@@ -6,11 +6,16 @@
 """
 
 from collections.abc import Iterable, Set
-from math import ceil
 from statistics import mean
 
 from .admission import RETRY_POLICY, AdmissionLevels
 from .interface import Server
+from .message_limit import (
+    RESERVE_AFTER_DEFERRABLE,
+    RESERVE_AFTER_EJECTION,
+    RESERVE_AFTER_URGENT,
+    MessageLimit,
+)
 from .server_health import MAX_EJECTION_TIME
 from .state import DEPARTED_RETENTION, TICK_INTERVAL, AssignerState
 from .table_changes import LEVEL_ENTRY, TableChange, table_changes
@@ -18,10 +23,6 @@
 MAX_QUEUE_SHARE = 0.45  # of the channel's queue capacity, which this planner may fill
 # Deferrable changes are sent only while the queue, with them, takes at most this long to deliver.
 DEFERRABLE_QUEUE_SECONDS = 0.25
-# Messages to each proxy that stay available for more urgent orders after the one being sent.
-RESERVE_AFTER_EJECTION = 1
-RESERVE_AFTER_URGENT = 3
-RESERVE_AFTER_DEFERRABLE = 5
 
 
 class Delivery:
@@ -34,6 +35,7 @@
     def __init__(self, state: AssignerState, admission: AdmissionLevels) -> None:
         self.state = state
         self.admission = admission
+        self.message_limit = MessageLimit(state)
         self.joining: list[int] = []
         self.delayed_since: dict[int, int] = {}
         self.published_at = -MAX_EJECTION_TIME
@@ -128,7 +130,7 @@
 
     def may_send_ejection(self, proxies: Iterable[int]) -> bool:
         """Return whether the message limit lets an ejection be sent to each of these proxies."""
-        return self._within_message_limit(proxies, RESERVE_AFTER_EJECTION)
+        return self.message_limit.allows(proxies, RESERVE_AFTER_EJECTION)
 
     def _possible_holders(self, server: int) -> set[int]:
         """Return the joined proxies that hold a server in a table, or may hold it."""
@@ -237,7 +239,7 @@
             reserve = RESERVE_AFTER_DEFERRABLE
         queued = channel.queued_lines(now) + channel.cost(proxies, 1)
         return not proxies or (
-            queued <= room - reserved_lines and self._within_message_limit(proxies, reserve)
+            queued <= room - reserved_lines and self.message_limit.allows(proxies, reserve)
         )
 
     def _send(self, change: TableChange, now: int) -> None:
@@ -252,39 +254,3 @@
         table.published_weights[change.server] = change.value
         if not change.value:
             del table.published_weights[change.server]
-
-    def _within_message_limit(self, proxies: Iterable[int], reserve: int) -> bool:
-        """Return whether each proxy may get a message.
-
-        It must leave `reserve` more below the message limit, and a message for ejections every
-        `_max_ejection_wait` from now on.
-        """
-        max_messages = self.state.settings.channel.max_messages
-        if not max_messages:
-            return True
-        now = self.state.host.now()
-        channel = self.state.channel
-        max_wait = self._max_ejection_wait()
-        recipients = [
-            self.state.proxies[proxy]
-            for proxy in proxies
-            if proxy not in channel.call_recipients and proxy not in channel.possible_recipients
-        ]
-        return all(
-            channel.recent_message_count(proxy, now) + reserve < max_messages
-            and channel.can_continue(proxy, now, max_wait, max_messages - RESERVE_AFTER_EJECTION)
-            for proxy in recipients
-        )
-
-    def _max_ejection_wait(self) -> int:
-        """Return for how many microseconds ejections may be gathered into one message.
-
-        Half of the drain grace that delivery leaves; the other half covers timers and the queue.
-        It is longer where the message limit does not allow that many messages.
-        """
-        settings = self.state.settings
-        channel = settings.channel
-        spare_time = (settings.drain_grace - channel.max_delivery_delay) // 2
-        messages_per_window = max(1, channel.max_messages - RESERVE_AFTER_EJECTION - 1)
-        sustainable_interval = ceil(channel.message_window / messages_per_window)
-        return max(1, spare_time, sustainable_interval)
