What an ejection costs waiting proxies is estimated once a turn, not once a server

"Which proxies get a new message" stood twice, and KeyRanges sent and recorded an ejection beside Delivery.

Change: update_ejections takes these once and returns early if nothing is due; ChannelAccount.cost serves all waiting proxies at once; new_recipients serves the account and the message limit; Delivery.repeat_ejection serves KeyRanges, which no longer touches limit and account for it. A health entry is made by setdefault instead of a bare expression with a noqa.

--- a/indigodeck/assignment/channel_account.py
+++ b/indigodeck/assignment/channel_account.py
@@ -113,9 +113,13 @@
         self.lines_ordered += lines
 
     def _record_messages(self, registry: ProxyRegistry, proxies: Set[int], now: int) -> None:
-        for number in proxies - self.call_recipients - self.possible_recipients:
+        for number in self.new_recipients(proxies):
             registry[number].message_times.append(now)
 
+    def new_recipients(self, proxies: Set[int]) -> Set[int]:
+        """Return the proxies for which a line would start a new message in this call."""
+        return proxies - self.call_recipients - self.possible_recipients
+
     def recent_message_count(self, proxy: Proxy, now: int) -> int:
         """Return how many messages were sent to a proxy within the limit's time window.
 
--- a/indigodeck/assignment/delivery.py
+++ b/indigodeck/assignment/delivery.py
@@ -5,7 +5,7 @@
 has room; other changes leave them that room.
 """
 
-from collections.abc import Iterable, Set
+from collections.abc import Set
 from statistics import mean
 
 from .admission import RETRY_POLICY, AdmissionLevels
@@ -71,7 +71,7 @@
         urgent = ejections_sent or any(not change.deferrable for change in changes)
         if changes and now - self.published_at < self._min_publish_interval(urgent, ejections_sent):
             return
-        lines_for_joining = self._lines_for_joining()
+        lines_for_joining = self._lines_for_joining() if changes else 0
         for change in sorted(changes, key=lambda change: change[:4]):
             reserved_lines = 0 if change.precedes_joining(ready) else lines_for_joining
             if self._has_room(change, reserved_lines, now):
@@ -94,10 +94,14 @@
         self.delayed_since = {
             server: since for server, since in self.delayed_since.items() if server in due
         }
+        if not due:
+            return False
+        waiting = self._waiting()
+        share = self._holding_share(waiting)
         any_sent = False
         for server in sorted(due):
-            holders = self._possible_holders(server)
-            if not self.may_send_ejection(holders):
+            holders = self._holders(server)
+            if not self.message_limit.allows(holders | waiting, RESERVE_AFTER_EJECTION):
                 self.delayed_since.setdefault(server, now)
                 continue
             self._log_delay(server, now)
@@ -106,42 +110,48 @@
             else:
                 state.host.eject_server(server)
             state.health[server].next_check_at = now
-            self._record_ejection(holders, now)
+            state.channel.record_orders(state.proxies, holders - waiting, 1, now)
+            state.channel.record_possible_orders(state.proxies, waiting, share, now)
             state.ejected ^= {server}
             any_sent = True
         return any_sent
 
-    def _record_ejection(self, holders: set[int], now: int) -> None:
-        """Record an ejection order; of the proxies that wait for tables only some hold the server.
-
-        What these hold is not known. The estimate is the share of all servers that the tables
-        which serve them have as members.
-        """
+    def repeat_ejection(self, server: int) -> bool:
+        """Eject a server again, for holders that have joined since; return whether it was sent."""
         state = self.state
-        waiting = holders.intersection(self.joining)
-        state.channel.record_orders(state.proxies, holders - waiting, 1, now)
-        if waiting:
-            member_counts = [
-                sum(len(table.members) for table in state.proxies.tables_of(proxy))
-                for proxy in waiting
-            ]
-            share = min(1.0, mean(member_counts) / max(1, len(state.servers)))
-            state.channel.record_possible_orders(state.proxies, waiting, share, now)
+        holders = self._holders(server)
+        if not self.message_limit.allows(holders, RESERVE_AFTER_EJECTION):
+            return False
+        state.host.eject_server(server)
+        state.channel.record_orders(state.proxies, holders, 1, state.host.now())
+        return True
 
-    def may_send_ejection(self, proxies: Iterable[int]) -> bool:
-        """Return whether the message limit lets an ejection be sent to each of these proxies."""
-        return self.message_limit.allows(proxies, RESERVE_AFTER_EJECTION)
+    def _holders(self, server: int) -> set[int]:
+        """Return the joined proxies that hold a server in a table of this planner.
 
-    def _possible_holders(self, server: int) -> set[int]:
-        """Return the joined proxies that hold a server in a table, or may hold it."""
+        All of them may use each key range.
+        """
         state = self.state
-        joined = state.proxies.joined()
         if state.settings.key_range_count:
-            return joined
-        return joined.intersection(self.joining).union(
+            return state.proxies.joined()
+        return set().union(
             *(table.proxies for table in state.tables if server in table.published_weights)
         )
 
+    def _holding_share(self, waiting: Set[int]) -> float:
+        """Return the share of the proxies that wait for tables which hold any one server.
+
+        What they hold is not known. The estimate is the share of all servers that the tables
+        which serve them have as members.
+        """
+        if not waiting:
+            return 0.0
+        proxies = self.state.proxies
+        members = mean(
+            sum(len(table.members) for table in proxies.tables_of(proxy)) for proxy in waiting
+        )
+        return min(1.0, members / max(1, len(self.state.servers)))
+
     def _log_delay(self, server: int, now: int) -> None:
         """Log how long an ejection, or its end, waited for the message limit, if it did."""
         delay = now - self.delayed_since.pop(server, now)
@@ -159,7 +169,7 @@
         channel = state.channel
         limit = self.queue_limit()
         still_waiting: list[int] = []
-        for proxy in self._waiting():
+        for proxy in sorted(self._waiting(), key=self._join_order):
             lines = self._table_lines(proxy)
             queued = channel.queued_lines(now)
             if still_waiting or queued and queued + channel.cost({proxy}, lines) > limit:
@@ -171,16 +181,14 @@
             channel.record_orders(state.proxies, {proxy}, lines, now)
         self.joining = still_waiting
 
-    def _waiting(self) -> list[int]:
-        """Return the joined proxies that wait for their tables, in order of joining.
+    def _waiting(self) -> set[int]:
+        """Return the joined proxies that wait for their tables."""
+        return {proxy for proxy in self.joining if self.state.proxies[proxy].joined}
 
-        Of those that joined at the same moment, the ones with the highest rates come first.
-        """
-        proxies = self.state.proxies
-        return sorted(
-            {proxy for proxy in self.joining if proxies[proxy].joined},
-            key=lambda proxy: (proxies[proxy].joined_at, -proxies[proxy].declared_rate, proxy),
-        )
+    def _join_order(self, proxy: int) -> tuple[int, float, int]:
+        """Return a sort key: by time of joining, at the same time by rate, the highest first."""
+        joined = self.state.proxies[proxy]
+        return joined.joined_at, -joined.declared_rate, proxy
 
     def _table_lines(self, proxy: int) -> int:
         """Return the lines that the assignment of its tables costs a proxy."""
@@ -193,8 +201,9 @@
 
     def _lines_for_joining(self) -> float:
         """Return the lines that the tables of all waiting proxies cost."""
-        channel = self.state.channel
-        return sum(channel.cost({proxy}, self._table_lines(proxy)) for proxy in self._waiting())
+        waiting = self._waiting()
+        table_lines = sum(self._table_lines(proxy) for proxy in waiting)
+        return table_lines + self.state.channel.cost(waiting, 0)
 
     def forget_departed(self, now: int, in_use: Set[int]) -> None:
         """Forget ejected servers that have been gone for a while and are not `in_use`.
--- a/indigodeck/assignment/key_ranges.py
+++ b/indigodeck/assignment/key_ranges.py
@@ -3,6 +3,7 @@
 from .delivery import Delivery
 from .interface import Server
 from .seeded_random import SeededRandom, seed_from
+from .server_health import ServerHealth
 from .state import AssignerState
 from .write_leases import WriteLeases
 
@@ -33,7 +34,7 @@
         """Record that a server holds a key range, and track its health even if it is not listed."""
         if table in self.servers_of and weight > 0:
             self.servers_of[table].add(server)
-            self.state.health[server]  # noqa: B018 - a defaultdict: creates the entry
+            self.state.health.setdefault(server, ServerHealth())
 
     def servers_in_use(self) -> set[int]:
         """Return the servers that hold a key range."""
@@ -75,18 +76,13 @@
         They read the former server from the store, and earlier orders have not reached them.
         Returns whether any proxy has been informed.
         """
-        joined = self.state.proxies.joined()
         any_sent = False
         for owner in self.write_leases.owners:
             if not self.write_leases.uninformed(owner):
                 continue
-            if owner not in newly_ejected:
-                if not self.delivery.may_send_ejection(joined):
-                    continue
-                self.state.host.eject_server(owner)
-                self.state.channel.record_orders(self.state.proxies, joined, 1, now)
-            self.write_leases.on_ejection_sent(owner, now)
-            any_sent = True
+            if owner in newly_ejected or self.delivery.repeat_ejection(owner):
+                self.write_leases.on_ejection_sent(owner, now)
+                any_sent = True
         return any_sent
 
     def _may_reassign(self, table: int, servers: set[int], now: int) -> bool:
--- a/indigodeck/assignment/message_limit.py
+++ b/indigodeck/assignment/message_limit.py
@@ -1,6 +1,6 @@
 """The limit on messages to each proxy, with reserves that keep ejections possible."""
 
-from collections.abc import Iterable
+from collections.abc import Set
 from math import ceil
 
 from .state import AssignerState
@@ -17,30 +17,26 @@
     def __init__(self, state: AssignerState) -> None:
         self.state = state
 
-    def allows(self, proxies: Iterable[int], reserve: int) -> bool:
+    def allows(self, proxies: Set[int], reserve: int) -> bool:
         """Return whether each proxy may get a message.
 
         It must leave `reserve` more below the message limit, and a message for ejections every
-        `max_ejection_wait` from now on.
+        `_max_ejection_wait` from now on.
         """
         max_messages = self.state.settings.channel.max_messages
         if not max_messages:
             return True
         now = self.state.host.now()
         channel = self.state.channel
-        max_wait = self.max_ejection_wait()
-        recipients = [
-            self.state.proxies[proxy]
-            for proxy in proxies
-            if proxy not in channel.call_recipients and proxy not in channel.possible_recipients
-        ]
+        max_wait = self._max_ejection_wait()
+        recipients = [self.state.proxies[proxy] for proxy in channel.new_recipients(proxies)]
         return all(
             channel.recent_message_count(proxy, now) + reserve < max_messages
             and channel.can_continue(proxy, now, max_wait, max_messages - RESERVE_AFTER_EJECTION)
             for proxy in recipients
         )
 
-    def max_ejection_wait(self) -> int:
+    def _max_ejection_wait(self) -> int:
         """Return for how many microseconds ejections may be gathered into one message.
 
         Half of the drain grace that delivery leaves; the other half covers timers and the queue.
