membership: departures that no connection contradicts are recorded in one place

Two callers took the proxies that their connections report, subtracted them from the joined ones and recorded the rest as left, with a module function for one third of it. _record_absent does all of it for both. Nothing else changes: edge.test_membership, nine tests with the property test, passes.

--- a/indigodeck/edge/membership.py
+++ b/indigodeck/edge/membership.py
@@ -64,8 +64,7 @@
             return
         view.complete = True
         view.join_numbers = {**self._join_numbers, **view.join_numbers}
-        reporting = [view, *self._other_live_views(connection)]
-        self._record_leave(self._joined - _reported_as_joined(reporting))
+        self._record_absent([view, *self._other_live_views(connection)])
 
     def is_complete(self, connection: Hashable) -> bool:
         """Return whether a connection has reported all proxies that were joined when it opened."""
@@ -108,7 +107,7 @@
         complete = [view for view in self.views.values() if view.complete]
         if not complete:
             return
-        self._record_leave(self._joined - _reported_as_joined(complete))
+        self._record_absent(complete)
         for view in complete:
             for proxy in sorted(view.joined.keys() - self._joined):
                 known_number = self._join_numbers.get(proxy, 0)
@@ -134,11 +133,11 @@
         self._joined.add(joined.proxy)
         self._listener.on_proxy_joined(joined)
 
+    def _record_absent(self, views: Iterable[ConnectionView]) -> None:
+        """Record the departure of the proxies that none of these connections reports as joined."""
+        self._record_leave(self._joined.difference(*(view.joined for view in views)))
+
     def _record_leave(self, proxies: Set[int]) -> None:
         for proxy in sorted(proxies & self._joined):
             self._joined.discard(proxy)
             self._listener.on_proxy_left(proxy)
-
-
-def _reported_as_joined(views: Iterable[ConnectionView]) -> set[int]:
-    return set().union(*(view.joined for view in views))
