tests: a planner's new process and the play of all seeds stand once each

Two simulations replaced a host's assigner in the same way; RecordingHost.replace_assigner serves both. The loop over seeds of the ownership simulation stood in two tests; one method plays it with one planner and with two. Assertions and seeds are the same: no break in any play, more than twice as many moves as seeds.

--- a/tests/assignment/ownership_simulation.py
+++ b/tests/assignment/ownership_simulation.py
@@ -8,7 +8,6 @@
 
 from harness import RecordingHost, deployment_settings, server
 
-from indigodeck.assignment.assigner import Assigner
 from indigodeck.assignment.interface import ServerState, UpdateKind
 from indigodeck.clock import SECOND
 
@@ -99,8 +98,7 @@
     def restart(self, servers):
         """Replace the process; the new one knows nothing but the list of servers."""
         self.process += 1
-        self.timers.clear()
-        self.assigner = Assigner(self, self.assigner.settings, 7)
+        self.replace_assigner()
         self.begin(servers)
 
     def set_weight(self, table, server_index, weight):
--- a/tests/assignment/test_chance_events.py
+++ b/tests/assignment/test_chance_events.py
@@ -81,9 +81,7 @@
 
     def restart_planner(self):
         """Replace the planner by a new process."""
-        assigner = self.host.assigner
-        self.host.timers.clear()
-        self.host.assigner = type(assigner)(self.host, assigner.settings, 7)
+        self.host.replace_assigner()
         self.start()
 
     def reconnect_proxies(self):
--- a/tests/assignment/test_write_leases.py
+++ b/tests/assignment/test_write_leases.py
@@ -206,25 +206,21 @@
 class ChanceEventsTest(unittest.TestCase):
     """Streams break and return, servers drain and return, and planners restart, by seed."""
 
-    def play(self, seed, planners):
-        """Play a minute, check that no write was late, and return how often the owner moved."""
-        simulation = OwnershipSimulation(seed, proxies=6, planners=planners)
-        simulation.run(MINUTE // STEP)
-        self.assertEqual(simulation.breaks, [])
-        return len(simulation.accepted) - 1
-
-    def test_no_write_reaches_a_former_owner_after_a_later_one(self):
-        """Guards against review/6 with events at any time."""
+    def play_all(self, planners):
+        """Play a minute for each seed: no write may be late, and owners must move often enough."""
         moves = 0
         for seed in range(SEEDS):
             with self.subTest(seed=seed):
-                moves += self.play(seed, planners=1)
+                simulation = OwnershipSimulation(seed, proxies=6, planners=planners)
+                simulation.run(MINUTE // STEP)
+                self.assertEqual(simulation.breaks, [])
+                moves += len(simulation.accepted) - 1
         self.assertGreater(moves, 2 * SEEDS)
 
+    def test_no_write_reaches_a_former_owner_after_a_later_one(self):
+        """Guards against review/6 with events at any time."""
+        self.play_all(planners=1)
+
     def test_no_write_is_late_while_the_key_range_changes_hands_between_planners(self):
         """Guards against review/6 with two planners, which take the key range from each other."""
-        moves = 0
-        for seed in range(SEEDS):
-            with self.subTest(seed=seed):
-                moves += self.play(seed, planners=2)
-        self.assertGreater(moves, 2 * SEEDS)
+        self.play_all(planners=2)
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -84,8 +84,14 @@
         self.recorded = []
         self.tables = {}
         self.ack_delay = SECOND // 5  # from request to acknowledgement; None: no acknowledgement
+        self.seed = seed
         self.assigner = Assigner(self, settings or deployment_settings(), seed)
 
+    def replace_assigner(self):
+        """Replace the assigner by that of a new process, which knows nothing and has no timers."""
+        self.timers.clear()
+        self.assigner = Assigner(self, self.assigner.settings, self.seed)
+
     def record(self, text):
         """Record a line with the current time."""
         self.recorded.append(f"{self.clock / SECOND:7.2f}  {text}")
